--- /dev/null
+++ b/boragegw/__main__.py
@@ -0,0 +1,8 @@
+"""Run the command line with ``python -m boragegw``."""
+
+import sys
+
+from boragegw import cli
+
+if __name__ == "__main__":
+    sys.exit(cli.main())
--- /dev/null
+++ b/boragegw/backends/__init__.py
@@ -0,0 +1,24 @@
+"""Attempts on backend servers: connections, verdicts, load reports."""
+
+from boragegw.backends._base import (
+    Attempt,
+    AttemptError,
+    BackendAnswer,
+    BackendTransport,
+    Failure,
+)
+from boragegw.backends._http import HttpBackendTransport
+from boragegw.backends._pool import ConnectionPool
+from boragegw.backends._reports import format_report, parse_report
+
+__all__ = [
+    "Attempt",
+    "AttemptError",
+    "BackendAnswer",
+    "BackendTransport",
+    "ConnectionPool",
+    "Failure",
+    "HttpBackendTransport",
+    "format_report",
+    "parse_report",
+]
--- /dev/null
+++ b/boragegw/backends/_reports.py
@@ -0,0 +1,37 @@
+"""The load report: one header on each answer, ``name=value`` joined by ``&``."""
+
+import urllib.parse
+
+from boragegw import blackboard
+
+
+def format_report(in_flight, cold, draining, incarnation):
+    """Return the header value of a load report."""
+    return urllib.parse.urlencode(
+        {
+            "in_flight": in_flight,
+            "cold": int(cold),
+            "draining": int(draining),
+            "incarnation": incarnation,
+        }
+    )
+
+
+def parse_report(value, now):
+    """Return the :class:`~boragegw.blackboard.LoadReport` in ``value``, or ``None``.
+
+    A report that cannot be read counts as none; reports only ever lower trust.
+    """
+    if not value:
+        return None
+    try:
+        fields = dict(urllib.parse.parse_qsl(value.decode("ascii"), max_num_fields=16))
+        return blackboard.LoadReport(
+            in_flight=max(0, int(fields["in_flight"])),
+            cold=fields.get("cold", "0") == "1",
+            draining=fields.get("draining", "0") == "1",
+            incarnation=fields.get("incarnation", "")[:64],
+            received_at=now,
+        )
+    except (ValueError, KeyError):
+        return None
--- /dev/null
+++ b/boragegw/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The command line: one module for each command."""
+
+from boragegw.cli._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/boragegw/cli/_check.py
@@ -0,0 +1,61 @@
+"""``boragegw check``: validates settings and documents."""
+
+import json
+import pathlib
+
+from boragegw import configuration
+from boragegw.configuration import _documents
+
+
+def add_parser(commands):
+    """Add the command."""
+    parser = commands.add_parser(
+        "check",
+        help="validate settings or configuration documents",
+        description="Validate settings files, configuration documents, or folders of "
+        "documents. The first fault is named in one line, with exit code 2.",
+    )
+    parser.add_argument("paths", nargs="+", metavar="PATH")
+    parser.set_defaults(run=run)
+
+
+def run(options):
+    """Run the command."""
+    for path in options.paths:
+        print(f"{path}: {check(pathlib.Path(path))}")
+    return 0
+
+
+def check(path):
+    """Return what the file or folder is, if valid.
+
+    :raises ConfigurationError: for the first fault.
+    """
+    if path.is_dir():
+        return check_folder(path)
+    data = configuration.load_jsonc(path)
+    if isinstance(data, dict) and "recalls" in data:
+        configuration.validate_model(configuration.RecallsDocument, data, path)
+        return "a recalls document"
+    if isinstance(data, dict) and "documents" in data:
+        configuration.validate_model(configuration.HeadDocument, data, path)
+        return "a head document"
+    if isinstance(data, dict) and "vms" in data:
+        configuration.parse_vm_list(json.dumps(data).encode())
+        return "a list of VMs"
+    if isinstance(data, dict) and "name" in data and "entry" not in data:
+        configuration.validate_model(configuration.ServiceDocument, data, path)
+        return "a service document"
+    configuration.load_settings(path)
+    return "settings"
+
+
+def check_folder(path):
+    """Validate a folder with ``head.json`` and its documents, whole."""
+    documents = {
+        file.name.removesuffix(".json"): file.read_bytes()
+        for file in sorted(path.glob("*.json"))
+    }
+    head = documents.pop(_documents.HEAD, b"")
+    parsed, services, _ = configuration.parse_bundle(head, documents)
+    return f"revision {parsed.revision} with {len(services)} services"
--- /dev/null
+++ b/boragegw/cli/_main.py
@@ -0,0 +1,44 @@
+"""Parses the command line and runs a command.
+
+Exit codes: 0 success, 1 the command's own failure, 2 bad input.
+"""
+
+import argparse
+import sys
+
+import boragegw
+from boragegw import errors
+from boragegw.cli import _check, _demo, _serve
+
+EXIT_BAD_INPUT = 2
+COMMANDS = (_serve, _check, _demo)
+
+
+def make_parser():
+    """Return the parser with all commands."""
+    parser = argparse.ArgumentParser(
+        prog="boragegw",
+        description="Load balancer for servers whose load shifts in milliseconds.",
+    )
+    parser.add_argument(
+        "--version", action="version", version=f"boragegw {boragegw.__version__}"
+    )
+    commands = parser.add_subparsers(dest="command", metavar="COMMAND", required=True)
+    for module in COMMANDS:
+        module.add_parser(commands)
+    return parser
+
+
+def main(arguments=None):
+    """Run the command in ``arguments`` and return the exit code."""
+    options = make_parser().parse_args(arguments)
+    try:
+        return options.run(options)
+    except errors.ConfigurationError as error:
+        print(f"boragegw: {error.detail}", file=sys.stderr)
+        return EXIT_BAD_INPUT
+    except errors.BoragegwError as error:
+        print(f"boragegw: {error}", file=sys.stderr)
+        return 1
+    except KeyboardInterrupt:
+        return 130
--- /dev/null
+++ b/boragegw/configuration/_settings.py
@@ -0,0 +1,164 @@
+"""The settings file of one entry process."""
+
+import ipaddress
+import pathlib
+import typing
+
+import pydantic
+
+from boragegw import errors
+from boragegw.configuration import _jsonc
+
+MIN_KEY_BYTES = 16
+
+
+def _check_address(value):
+    host, separator, port = value.rpartition(":")
+    if not separator or not port.isdigit() or int(port) > 65535:
+        raise ValueError("expected IP:PORT")
+    ipaddress.ip_address(host.strip("[]"))
+    return value
+
+
+Address = typing.Annotated[str, pydantic.AfterValidator(_check_address)]
+Name = typing.Annotated[
+    str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
+]
+Seconds = typing.Annotated[float, pydantic.Field(gt=0, le=86400)]
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class EntrySettings(_Model):
+    """Names and addresses of this entry VM; a port of 0 is chosen by the kernel."""
+
+    name: Name
+    data_centre: Name
+    caller_address: Address
+    operator_address: Address
+    peer_address: Address
+
+
+class PlatformSettings(_Model):
+    """Where the platform publishes, and how often it may be read.
+
+    :param reads_per_second: budget of this process, a waiting watch as one read.
+    """
+
+    addresses: list[Address] = pydantic.Field(min_length=1)
+    reads_per_second: float = pydantic.Field(default=4.0, gt=0, le=100)
+    watch_timeout: Seconds = 5.0
+
+
+class PeerSettings(_Model):
+    """How entry processes talk among themselves.
+
+    :param key_file: file with the shared key, at least 16 bytes.
+    :param seeds: peer addresses asked at start, besides those the platform lists.
+    """
+
+    key_file: str
+    seeds: list[Address] = []
+    heartbeat_interval: Seconds = 0.5
+    silence: Seconds = 3.0
+
+
+class LeaseSettings(_Model):
+    """Leases for idempotency keys and the records kept for them.
+
+    :param duration: how long a caller may make keys from one lease.
+    :param retention: how long records outlive their lease.
+    """
+
+    duration: Seconds = 600.0
+    retention: Seconds = 600.0
+    table_limit: int = pydantic.Field(default=100_000, ge=1, le=10_000_000)
+    stored_answer_limit: int = pydantic.Field(default=65_536, ge=0, le=1 << 24)
+    stored_bytes_limit: int = pydantic.Field(default=32 << 20, ge=0, le=1 << 30)
+
+
+class LimitSettings(_Model):
+    """Limits of the caller-facing interface."""
+
+    header_bytes: int = pydantic.Field(default=32_768, ge=1024, le=1 << 20)
+    requests: int = pydantic.Field(default=5_000, ge=1)
+    shutdown_timeout: Seconds = 60.0
+
+
+class ObservationSettings(_Model):
+    """Targets of logs, metrics and traces; an empty target is off.
+
+    :param trace_target: a file for JSON lines, or an ``http://`` OTLP address.
+    """
+
+    log_level: str = pydantic.Field(
+        default="INFO", pattern="^(DEBUG|INFO|WARNING|ERROR)$"
+    )
+    statsd: Address | None = None
+    statsd_prefix: str = "boragegw"
+    trace_target: str = ""
+    trace_ratio: float = pydantic.Field(default=0.01, ge=0, le=1)
+
+
+class TlsSettings(_Model):
+    """Certificate and key files for the caller-facing port."""
+
+    certificate: str
+    private_key: str
+
+
+class Settings(_Model):
+    """One entry process."""
+
+    entry: EntrySettings
+    platform: PlatformSettings
+    peers: PeerSettings
+    leases: LeaseSettings = LeaseSettings()
+    limits: LimitSettings = LimitSettings()
+    observation: ObservationSettings = ObservationSettings()
+    tls: TlsSettings | None = None
+
+    def read_peer_key(self, source="settings"):
+        """Return the shared key of the peers.
+
+        :raises ConfigurationError: if the file cannot be read or is too short.
+        """
+        path = pathlib.Path(self.peers.key_file)
+        try:
+            key = path.read_bytes().strip()
+        except OSError as error:
+            raise errors.ConfigurationError(
+                source, "peers.key_file", f"{str(path)!r}: {error.strerror}"
+            ) from error
+        if len(key) < MIN_KEY_BYTES:
+            raise errors.ConfigurationError(
+                source,
+                "peers.key_file",
+                f"{str(path)!r} holds {len(key)} bytes, expected at least "
+                f"{MIN_KEY_BYTES}",
+            )
+        return key
+
+
+def load_settings(path):
+    """Return the validated :class:`Settings` in the file ``path``.
+
+    Relative paths within are taken from the file's folder.
+
+    :raises ConfigurationError: with one line that names the key at fault.
+    """
+    settings = _jsonc.validate_model(Settings, _jsonc.load_jsonc(path), path)
+    folder = pathlib.Path(path).parent
+    peers = settings.peers.model_copy(
+        update={"key_file": str(folder / settings.peers.key_file)}
+    )
+    settings = settings.model_copy(update={"peers": peers})
+    settings.read_peer_key(path)
+    for key in ("certificate", "private_key"):
+        if settings.tls and not pathlib.Path(getattr(settings.tls, key)).is_file():
+            raise errors.ConfigurationError(
+                path, f"tls.{key}", f"{getattr(settings.tls, key)!r}: no such file"
+            )
+    return settings
--- /dev/null
+++ b/boragegw/controllers/__init__.py
@@ -0,0 +1,17 @@
+"""Tasks and event handlers that read and write the blackboard."""
+
+from boragegw.controllers._configuration import ConfigurationController
+from boragegw.controllers._dispatcher import Dispatcher
+from boragegw.controllers._gossip import GossipController
+from boragegw.controllers._membership import MembershipController
+from boragegw.controllers._observer import Observer
+from boragegw.controllers._services import ServicesController
+
+__all__ = [
+    "ConfigurationController",
+    "Dispatcher",
+    "GossipController",
+    "MembershipController",
+    "Observer",
+    "ServicesController",
+]
--- /dev/null
+++ b/boragegw/controllers/_services.py
@@ -0,0 +1,107 @@
+"""Keeps the services' backend servers in step with configuration, VMs and peers."""
+
+from boragegw import blackboard
+
+
+class ServicesController:
+    """Writes which backend servers exist, are recalled, and are warmed here.
+
+    :param subsets: a :class:`~boragegw.decisions.SubsetPolicy`.
+    """
+
+    def __init__(self, board, clock, dispatcher, subsets, membership, ramp):
+        self.board = board
+        self.clock = clock
+        self.dispatcher = dispatcher
+        self.subsets = subsets
+        self.membership = membership
+        self.ramp = ramp
+
+    def refresh(self):
+        """Bring everything up to date; cheap enough for each change and tick."""
+        configuration = self.board.configuration
+        services = self.board.services
+        for name, settings in configuration.services.items():
+            if name not in services:
+                services[name] = blackboard.ServiceState(settings)
+            services[name].settings = settings
+        for name in [name for name in services if name not in configuration.services]:
+            self._remove_service(services.pop(name))
+        self._refresh_backends()
+        self.refresh_recalls()
+        self.refresh_warmers()
+
+    def _remove_service(self, service):
+        for backend in service.backends.values():
+            backend.removed = True
+        self.dispatcher.pump(service)
+
+    def _refresh_backends(self):
+        listed = {name: {} for name in self.board.services}
+        for vm in self.board.fleet.vms.values():
+            if vm.role == blackboard.ROLE_BACKEND and vm.service in listed:
+                listed[vm.service][vm.name] = vm
+        for name, vms in listed.items():
+            service = self.board.services[name]
+            for gone in [n for n in service.backends if n not in vms]:
+                service.backends.pop(gone).removed = True
+            for vm in vms.values():
+                self._refresh_backend(service, vm)
+
+    def _refresh_backend(self, service, vm):
+        known = service.backends.get(vm.name)
+        if known is not None and known.vm.address == vm.address:
+            known.vm = vm
+            return
+        if known is not None:
+            known.removed = True
+        backend = blackboard.BackendState(vm)
+        backend.allowance = float(min(service.settings.cold_in_flight, vm.slots))
+        backend.cold_since = self.clock.now()
+        service.backends[vm.name] = backend
+
+    def refresh_recalls(self):
+        """Apply the recalls in force; a returned backend server is cold."""
+        for service in self.board.services.values():
+            for backend in service.backends.values():
+                recalled = self.board.configuration.is_recalled(backend.vm)
+                if backend.recalled and not recalled:
+                    now, wall = self.clock.now(), self.clock.wall()
+                    self.ramp.turn_cold(backend, service.settings, now, wall)
+                backend.recalled = recalled
+            self.dispatcher.pump(service)
+
+    def live(self):
+        """Return the entries in sight, this one included while it serves."""
+        return self.membership.live_entries(self.board, self.clock.now())
+
+    def subset(self, service, live=None):
+        """Return the entries that serve ``service`` (a ServiceState)."""
+        settings = service.settings
+        members = self.live() if live is None else live
+        return self.subsets.subset(settings.name, members, settings.subset_size)
+
+    def refresh_warmers(self):
+        """Decide for each backend server whether this entry warms it."""
+        live = self.live()
+        listed = {vm.data_centre for vm in self.board.fleet.entries()}
+        own = self.board.identity.name
+        for service in self.board.services.values():
+            subset = self.subset(service, live)
+            for backend in service.backends.values():
+                warmer = self.subsets.warmer(backend.vm, subset, listed)
+                is_warmer = warmer is not None and warmer.name == own
+                self._set_warmer(service, backend, is_warmer)
+
+    def _set_warmer(self, service, backend, is_warmer):
+        """Note who warms; a new warmer starts again at the cold share.
+
+        Guards against growth that another process earned: only the process whose
+        own answers came in time knows how far the ramp has got.
+        """
+        became = is_warmer and not backend.is_warmer
+        backend.is_warmer = is_warmer
+        if became and backend.phase is blackboard.Phase.COLD:
+            settings = service.settings
+            backend.allowance = float(min(settings.cold_in_flight, backend.vm.slots))
+            backend.cold_since = self.clock.now()
--- /dev/null
+++ b/boragegw/errors/__init__.py
@@ -0,0 +1,24 @@
+"""Verdicts and errors with stable codes."""
+
+from boragegw.errors._errors import (
+    BoragegwError,
+    Code,
+    ConfigurationError,
+    PlatformError,
+    RequestError,
+    TruncatedAnswerError,
+)
+from boragegw.errors._problem import ProblemDocument, problem_document
+from boragegw.errors._verdict import Verdict
+
+__all__ = [
+    "BoragegwError",
+    "Code",
+    "ConfigurationError",
+    "PlatformError",
+    "ProblemDocument",
+    "RequestError",
+    "TruncatedAnswerError",
+    "Verdict",
+    "problem_document",
+]
--- /dev/null
+++ b/boragegw/messages/_request.py
@@ -0,0 +1,59 @@
+"""A request on its way from a caller to a backend server."""
+
+import dataclasses
+import hashlib
+
+from boragegw.messages import _body, _headers
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """One request.
+
+    :param target: path and query as sent to the backend server.
+    :param headers: end-to-end header pairs of bytes, names in lower case.
+    :param deadline: monotonic seconds by which the answer must begin.
+    :param key: idempotency key, "" if the caller gave none.
+    :param retries_left: attempts that the layers above still allow beyond the first.
+    :param trace: the span context of the hop before, or ``None``.
+    """
+
+    request_id: str
+    service: str
+    method: str
+    target: str
+    headers: list
+    body: _body.Body
+    deadline: float
+    key: str = ""
+    retries_left: int = 2
+    trace: object = None
+
+    @property
+    def path(self):
+        """The target without its query."""
+        return self.target.partition("?")[0]
+
+    def fingerprint(self):
+        """Return the digest that tells this request from another under its key.
+
+        It covers the caller's credentials, so that a key guessed or repeated by
+        somebody else does not reveal the stored answer. The body must be complete.
+        """
+        credentials = _headers.find(self.headers, b"authorization", b"")
+        cookie = _headers.find(self.headers, b"cookie", b"")
+        kind = _headers.find(self.headers, b"content-type", b"")
+        parts = (
+            self.service.encode(),
+            self.method.encode(),
+            self.target.encode(),
+            credentials,
+            cookie,
+            kind,
+            self.body.digest(),
+        )
+        digest = hashlib.blake2b(digest_size=16)
+        for part in parts:
+            digest.update(len(part).to_bytes(4, "big"))
+            digest.update(part)
+        return digest.digest()
--- /dev/null
+++ b/boragegw/operations/__init__.py
@@ -0,0 +1,19 @@
+"""What operators see: status, metrics, traces, logs."""
+
+from boragegw.operations._application import OperatorApplication
+from boragegw.operations._logs import JsonLinesFormatter, configure_logging
+from boragegw.operations._metrics import METRICS, MetricsReporter
+from boragegw.operations._status import explain_request, status_of
+from boragegw.operations._traces import OpenTelemetryTracer, make_tracer
+
+__all__ = [
+    "METRICS",
+    "JsonLinesFormatter",
+    "MetricsReporter",
+    "OpenTelemetryTracer",
+    "OperatorApplication",
+    "configure_logging",
+    "explain_request",
+    "make_tracer",
+    "status_of",
+]
--- /dev/null
+++ b/boragegw/operations/_metrics.py
@@ -0,0 +1,94 @@
+"""Metrics by statsd, named by one table."""
+
+import statsd
+
+METRICS = {
+    "requests.answered": "requests that ended with a backend server's answer",
+    "requests.refused.*": "requests refused, by error code",
+    "requests.forwarded": "non-idempotent requests forwarded to their home",
+    "requests.hedged": "second attempts of slow idempotent requests",
+    "requests.retried": "attempts after a failed one",
+    "requests.resumed": "downloads continued on another backend server",
+    "requests.shed": "waiting requests refused for lack of room",
+    "requests.expired_in_queue": "waiting requests whose deadline passed",
+    "requests.quarantined": "requests refused because they crash backend servers",
+    "requests.caller_gone": "callers that went away before their answer",
+    "requests.slow_caller": "answers given up because the caller did not read",
+    "requests.broken_off": "answers that broke off after their head was sent",
+    "attempts.sent": "attempts sent to backend servers",
+    "keys.replayed": "resends that joined or got a stored outcome",
+    "probes.sent": "probes sent",
+    "probes.failed": "probes without an answer",
+    "probes.over_budget": "probes not sent for lack of budget",
+    "backends.turned_cold": "backend servers that turned cold",
+    "backends.turned_warm": "backend servers that turned warm",
+    "configuration.adopted": "configurations put in force",
+    "configuration.rejected": "configurations refused as invalid",
+    "configuration.stale_reads": "reads that returned an older revision",
+    "configuration.reads": "reads of the platform, a watch as one",
+    "fleet.rejected": "lists of VMs refused as invalid",
+    "platform.failures": "failed reads of the platform",
+    "peers.datagrams_sent": "datagrams sent to peers",
+    "peers.datagrams_received": "datagrams received",
+    "peers.datagrams_dropped": "datagrams dropped as foreign, damaged or repeated",
+    "peers.bytes_sent": "bytes of datagrams sent",
+    "peers.bytes_received": "bytes of datagrams received",
+    "peers.send_errors": "datagrams that could not be delivered",
+}
+GAUGES = {
+    "gauge.in_flight": "requests in this process",
+    "gauge.revision": "configuration revision in force",
+    "gauge.configuration_age": "seconds since the revision was confirmed",
+    "gauge.peers_alive": "peers in sight",
+    "gauge.keys": "records of keys held",
+    "gauge.queue.*": "requests waiting, by service",
+}
+
+
+class MetricsReporter:
+    """Sends what has changed since the last time, in one statsd pipeline.
+
+    :param address: ``host:port`` of the statsd server, or ``None`` for nowhere.
+    :param prefix: first part of each name.
+    :param client: a statsd client, for tests.
+    """
+
+    def __init__(
+        self, board, clock, keys, address=None, prefix="boragegw", client=None
+    ):
+        self.board = board
+        self.clock = clock
+        self.keys = keys
+        self.address = address
+        self.prefix = prefix
+        self._client = client
+        self._sent = {}
+        if client is None and address is not None:
+            host, _, port = address.rpartition(":")
+            self._client = statsd.StatsClient(host.strip("[]"), int(port), prefix)
+
+    def flush(self):
+        """Send counters and gauges."""
+        if self._client is None:
+            return
+        with self._client.pipeline() as pipeline:
+            for name, value in self.board.counters.items():
+                change = value - self._sent.get(name, 0)
+                if change:
+                    pipeline.incr(name, change)
+                    self._sent[name] = value
+            for name, value in self.gauges():
+                pipeline.gauge(name, value)
+
+    def gauges(self):
+        """Yield the gauges' names and values."""
+        board = self.board
+        now = self.clock.now()
+        yield "gauge.in_flight", board.lifecycle.in_flight
+        yield "gauge.revision", board.configuration.revision
+        age = min(now - board.configuration.confirmed_at, 1e9)
+        yield "gauge.configuration_age", round(age, 3)
+        yield "gauge.peers_alive", sum(1 for _ in board.membership.alive(now))
+        yield "gauge.keys", len(self.keys)
+        for name, service in board.services.items():
+            yield f"gauge.queue.{name}", len(service.waiting)
--- /dev/null
+++ b/boragegw/peers/__init__.py
@@ -0,0 +1,37 @@
+"""What the entry processes tell each other."""
+
+from boragegw.peers._authenticity import ReplayWindow, RequestSigner
+from boragegw.peers._base import ConfigurationBundle, PeerError, PeerNetwork
+from boragegw.peers._codec import DATAGRAM_LIMIT, DatagramCodec, MalformedDatagramError
+from boragegw.peers._http import HttpPeerNetwork
+from boragegw.peers._messages import (
+    BackendCount,
+    Beat,
+    Heartbeat,
+    LoadDigest,
+    Quarantine,
+    Temperature,
+)
+from boragegw.peers._tables import decode_sealed, encode_sealed
+from boragegw.peers._udp import UdpEndpoint
+
+__all__ = [
+    "DATAGRAM_LIMIT",
+    "BackendCount",
+    "Beat",
+    "ConfigurationBundle",
+    "DatagramCodec",
+    "Heartbeat",
+    "HttpPeerNetwork",
+    "LoadDigest",
+    "MalformedDatagramError",
+    "PeerError",
+    "PeerNetwork",
+    "Quarantine",
+    "ReplayWindow",
+    "RequestSigner",
+    "Temperature",
+    "UdpEndpoint",
+    "decode_sealed",
+    "encode_sealed",
+]
--- /dev/null
+++ b/boragegw/peers/_authenticity.py
@@ -0,0 +1,104 @@
+"""Proof that a message comes from a peer, is whole and is no replay."""
+
+import dataclasses
+import hashlib
+import hmac
+import secrets
+
+WINDOW_BITS = 64
+MAC_BYTES = 16
+
+
+@dataclasses.dataclass(slots=True)
+class _Window:
+    highest: int
+    seen: int
+
+
+class ReplayWindow:
+    """Accepts each (sender, sequence) once, also out of order within a window.
+
+    :param max_age: seconds of difference accepted between the clocks of two VMs;
+        guards against a replay to a process that has never heard the sender.
+    :param capacity: senders remembered; the oldest goes first.
+    """
+
+    def __init__(self, max_age=30.0, capacity=4000):
+        self.max_age = max_age
+        self.capacity = capacity
+        self._windows = {}
+
+    def accepts(self, sender, sequence, sent_at, wall):
+        """Return whether the message is new, and remember it."""
+        if abs(wall - sent_at) > self.max_age:
+            return False
+        window = self._windows.get(sender)
+        if window is None:
+            self._windows[sender] = _Window(sequence, 1)
+            if len(self._windows) > self.capacity:
+                del self._windows[next(iter(self._windows))]
+            return True
+        return self._advance(window, sequence)
+
+    @staticmethod
+    def _advance(window, sequence):
+        ahead = sequence - window.highest
+        if ahead > 0:
+            window.seen = (window.seen << ahead | 1) & ((1 << WINDOW_BITS) - 1)
+            window.highest = sequence
+            return True
+        if -ahead >= WINDOW_BITS or window.seen >> -ahead & 1:
+            return False
+        window.seen |= 1 << -ahead
+        return True
+
+
+class RequestSigner:
+    """Signs requests between peers over HTTP.
+
+    The MAC covers method, target, the headers that carry meaning, time and a nonce;
+    for bulk transfers also the body.
+
+    :param secret: the peers' shared key.
+    :param max_age: seconds for which a signature is accepted.
+    """
+
+    def __init__(self, secret, max_age=30.0):
+        self.secret = secret
+        self.max_age = max_age
+        self._nonces = {}
+
+    def _mac(self, *parts):
+        digest = hmac.new(self.secret, digestmod=hashlib.sha256)
+        for part in parts:
+            digest.update(len(part).to_bytes(4, "big"))
+            digest.update(part)
+        return digest.hexdigest()[: 2 * MAC_BYTES].encode()
+
+    def sign(self, wall, *parts):
+        """Return the header value for a message of ``parts`` (bytes)."""
+        stamp = str(int(wall * 1000)).encode()
+        nonce = secrets.token_hex(8).encode()
+        mac = self._mac(b"http", stamp, nonce, *parts)
+        return b".".join((stamp, nonce, mac))
+
+    def verify(self, wall, value, *parts):
+        """Return whether ``value`` signs ``parts``, is fresh and is no replay."""
+        stamp, _, rest = value.partition(b".")
+        nonce, _, mac = rest.partition(b".")
+        if not stamp.isdigit() or not hmac.compare_digest(
+            mac, self._mac(b"http", stamp, nonce, *parts)
+        ):
+            return False
+        sent_at = int(stamp) / 1000
+        if abs(wall - sent_at) > self.max_age or nonce in self._nonces:
+            return False
+        self._remember(nonce, wall)
+        return True
+
+    def _remember(self, nonce, wall):
+        self._nonces[nonce] = wall
+        oldest = next(iter(self._nonces))
+        while self._nonces[oldest] < wall - 2 * self.max_age:
+            del self._nonces[oldest]
+            oldest = next(iter(self._nonces))
--- /dev/null
+++ b/boragegw/peers/_base.py
@@ -0,0 +1,59 @@
+"""The interface among entry processes."""
+
+import abc
+import dataclasses
+
+from boragegw import errors
+
+
+class PeerError(errors.BoragegwError):
+    """A peer could not be reached, or refused.
+
+    :param sent: whether a byte of the message may have reached the peer.
+    """
+
+    def __init__(self, detail, sent=False):
+        super().__init__("peer", detail)
+        self.sent = sent
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationBundle:
+    """Raw documents of one configuration revision, and the raw list of VMs."""
+
+    head: bytes
+    documents: dict
+    vms: bytes
+
+
+class PeerNetwork(abc.ABC):
+    """Datagrams, forwards and bulk transfers between entry processes."""
+
+    @abc.abstractmethod
+    def send(self, address, message):
+        """Send ``message`` as a datagram; it may be lost."""
+
+    @abc.abstractmethod
+    async def forward(self, address, incarnation, request):
+        """Have the process ``incarnation`` at ``address`` carry ``request``.
+
+        :returns: its :class:`~boragegw.messages.Answer`.
+        :raises PeerError: if there is no answer from that process.
+        """
+
+    @abc.abstractmethod
+    async def fetch_configuration(self, address):
+        """Return a peer's :class:`ConfigurationBundle`.
+
+        :raises PeerError: if there is none.
+        """
+
+    @abc.abstractmethod
+    async def hand_over(self, address, sealed):
+        """Give a :class:`~boragegw.decisions.SealedTable` to a peer to keep.
+
+        :raises PeerError: unless the peer has confirmed that it holds all of it.
+        """
+
+    async def aclose(self):  # noqa: B027 - optional
+        """Close all connections."""
--- /dev/null
+++ b/boragegw/peers/_codec.py
@@ -0,0 +1,178 @@
+"""Datagrams as capnp messages (``messages.capnp``, packed) with a MAC at the end."""
+
+import hashlib
+import hmac
+import pathlib
+
+import capnp
+
+from boragegw import blackboard
+from boragegw.peers import _authenticity, _messages
+
+capnp.remove_import_hook()
+_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("messages.capnp")))
+
+DATAGRAM_LIMIT = 1200
+MAX_MS = 0xFFFFFFFF
+
+
+class MalformedDatagramError(ValueError):
+    """A datagram is foreign, damaged or makes no sense."""
+
+
+def _milliseconds(seconds):
+    return max(0, min(MAX_MS, int(min(seconds, 1e7) * 1000)))
+
+
+def _write_member(builder, member, age):
+    builder.incarnation = member.incarnation
+    builder.name = member.name
+    builder.dataCentre = member.data_centre
+    builder.callerAddress = member.caller_address
+    builder.peerAddress = member.peer_address
+    builder.beat = member.beat
+    builder.ageMs = _milliseconds(age)
+    builder.state = int(member.state)
+    builder.revision = member.revision
+    builder.fleetVersion = member.fleet_version
+    builder.confirmedAgeMs = _milliseconds(member.confirmed_age)
+    builder.sealed = list(member.sealed)
+
+
+def _read_member(reader):
+    member = blackboard.Member(
+        incarnation=reader.incarnation,
+        name=reader.name,
+        data_centre=reader.dataCentre,
+        caller_address=reader.callerAddress,
+        peer_address=reader.peerAddress,
+        beat=reader.beat,
+        state=blackboard.MemberState(reader.state),
+        revision=reader.revision,
+        fleet_version=reader.fleetVersion,
+        confirmed_age=reader.confirmedAgeMs / 1000,
+        sealed=tuple(reader.sealed),
+    )
+    return member, reader.ageMs / 1000
+
+
+def _write_heartbeat(root, message):
+    heartbeat = root.init("heartbeat")
+    _write_member(heartbeat.sender, message.sender, 0.0)
+    members = heartbeat.init("members", len(message.members))
+    for builder, (member, age) in zip(members, message.members, strict=True):
+        _write_member(builder, member, age)
+    beats = heartbeat.init("beats", len(message.beats))
+    for builder, beat in zip(beats, message.beats, strict=True):
+        builder.incarnation = beat.incarnation
+        builder.beat = beat.beat
+        builder.ageMs = _milliseconds(beat.age)
+
+
+def _read_heartbeat(reader):
+    sender, _ = _read_member(reader.sender)
+    members = [_read_member(member) for member in reader.members]
+    beats = [
+        _messages.Beat(beat.incarnation, beat.beat, beat.ageMs / 1000)
+        for beat in reader.beats
+    ]
+    return _messages.Heartbeat(sender, members, beats)
+
+
+def _write_load_digest(root, message):
+    digest = root.init("loadDigest")
+    digest.service = message.service
+    counts = digest.init("counts", len(message.counts))
+    for builder, count in zip(counts, message.counts, strict=True):
+        builder.backend = count.backend
+        builder.inFlight = min(count.in_flight, 0xFFFF)
+    temperatures = digest.init("temperatures", len(message.temperatures))
+    for builder, row in zip(temperatures, message.temperatures, strict=True):
+        builder.backend = row.backend
+        builder.epoch = row.epoch
+        builder.warm = row.warm
+
+
+def _read_load_digest(reader):
+    counts = [
+        _messages.BackendCount(count.backend, count.inFlight) for count in reader.counts
+    ]
+    temperatures = [
+        _messages.Temperature(row.backend, row.epoch, row.warm)
+        for row in reader.temperatures
+    ]
+    return _messages.LoadDigest(reader.service, counts, temperatures)
+
+
+def _write_quarantine(root, message):
+    quarantine = root.init("quarantine")
+    quarantine.fingerprint = message.fingerprint
+    quarantine.remainingMs = _milliseconds(message.remaining)
+
+
+def _read_quarantine(reader):
+    return _messages.Quarantine(bytes(reader.fingerprint), reader.remainingMs / 1000)
+
+
+_WRITERS = {
+    _messages.Heartbeat: _write_heartbeat,
+    _messages.LoadDigest: _write_load_digest,
+    _messages.Quarantine: _write_quarantine,
+}
+_READERS = {
+    "heartbeat": _read_heartbeat,
+    "loadDigest": _read_load_digest,
+    "quarantine": _read_quarantine,
+}
+
+
+class DatagramCodec:
+    """Encodes the messages of one sender and decodes those of its peers.
+
+    :param secret: the peers' shared key.
+    :param incarnation: of this process.
+    :param clock: a :class:`~boragegw.utils.Clock`.
+    """
+
+    def __init__(self, secret, incarnation, clock):
+        self.secret = secret
+        self.incarnation = incarnation
+        self.clock = clock
+        self._sequence = 0
+        self._window = _authenticity.ReplayWindow()
+
+    def _mac(self, payload):
+        digest = hmac.digest(self.secret, b"datagram" + payload, hashlib.sha256)
+        return digest[: _authenticity.MAC_BYTES]
+
+    def encode(self, message):
+        """Return the datagram for ``message``."""
+        self._sequence += 1
+        root = _SCHEMA.Datagram.new_message()
+        root.sender = self.incarnation
+        root.sequence = self._sequence
+        root.sentAtMs = int(self.clock.wall() * 1000)
+        _WRITERS[type(message)](root, message)
+        payload = root.to_bytes_packed()
+        return payload + self._mac(payload)
+
+    def decode(self, datagram):
+        """Return the sender's incarnation and the message.
+
+        :raises MalformedDatagramError: for a foreign, damaged, old or repeated one.
+        """
+        payload = datagram[: -_authenticity.MAC_BYTES]
+        mac = datagram[-_authenticity.MAC_BYTES :]
+        if not payload or not hmac.compare_digest(mac, self._mac(payload)):
+            raise MalformedDatagramError("wrong MAC")
+        try:
+            root = _SCHEMA.Datagram.from_bytes_packed(payload)
+            kind = root.which()
+            message = _READERS[str(kind)](getattr(root, str(kind)))
+            sender, sequence = root.sender, root.sequence
+            sent_at = root.sentAtMs / 1000
+        except (capnp.KjException, KeyError, ValueError) as error:
+            raise MalformedDatagramError(str(error)) from error
+        if not self._window.accepts(sender, sequence, sent_at, self.clock.wall()):
+            raise MalformedDatagramError("replayed or too old")
+        return sender, message
--- /dev/null
+++ b/boragegw/peers/_http.py
@@ -0,0 +1,175 @@
+"""Forwards and bulk transfers between peers over HTTP, and datagrams over UDP."""
+
+import base64
+
+import httpx
+
+from boragegw import errors, messages
+from boragegw.peers import _base, _tables
+
+SIGNATURE = b"boragegw-peer-signature"
+FORWARD = b"boragegw-forward"
+FORWARD_PATH = "/peer/forward"
+CONFIGURATION_PATH = "/peer/configuration"
+SEALED_PATH = "/peer/sealed"
+CONNECT_TIMEOUT = 0.5
+BULK_TIMEOUT = 5.0
+BUNDLE_LIMIT = 64 << 20
+
+
+def pack_forward(incarnation, request, remaining):
+    """Return the header value that describes a forwarded request, and its parts.
+
+    The parts are signed, so they are joined in one unambiguous text.
+    """
+    fields = (
+        str(incarnation),
+        request.request_id,
+        request.service,
+        request.method,
+        request.target,
+        request.key,
+        str(int(remaining * 1000)),
+        str(request.retries_left),
+    )
+    text = "\n".join(fields).encode()
+    return base64.urlsafe_b64encode(text)
+
+
+def unpack_forward(value):
+    """Return the fields of a forwarded request.
+
+    :raises PeerError: if they are damaged.
+    """
+    try:
+        fields = base64.urlsafe_b64decode(value).decode().split("\n")
+        incarnation, request_id, service, method, target, key, ms, left = fields
+        return (
+            int(incarnation),
+            request_id,
+            service,
+            method,
+            target,
+            key,
+            int(ms) / 1000,
+            int(left),
+        )
+    except ValueError as error:
+        raise _base.PeerError(f"damaged forward: {error}") from error
+
+
+class HttpPeerNetwork(_base.PeerNetwork):
+    """The network in production.
+
+    :param udp: a :class:`UdpEndpoint`.
+    :param signer: a :class:`RequestSigner`.
+    :param clock: a :class:`~boragegw.utils.Clock`.
+    """
+
+    def __init__(self, udp, signer, clock):
+        self.udp = udp
+        self.signer = signer
+        self.clock = clock
+        self._client = None
+
+    def _http(self):
+        if self._client is None:
+            timeout = httpx.Timeout(BULK_TIMEOUT, connect=CONNECT_TIMEOUT)
+            self._client = httpx.AsyncClient(trust_env=False, timeout=timeout)
+        return self._client
+
+    def send(self, address, message):
+        """Send ``message`` as a datagram."""
+        self.udp.send(address, message)
+
+    async def forward(self, address, incarnation, request):
+        """Have another process carry ``request``; streamed both ways."""
+        remaining = request.deadline - self.clock.now()
+        described = pack_forward(incarnation, request, remaining)
+        signature = self.signer.sign(self.clock.wall(), FORWARD, described)
+        skipped = (b"host", b"content-length")
+        headers = [(k, v) for k, v in request.headers if k not in skipped]
+        headers += [(FORWARD, described), (SIGNATURE, signature)]
+        if request.trace is not None:
+            headers = [h for h in headers if h[0] != messages.TRACEPARENT]
+            headers.append((messages.TRACEPARENT, request.trace))
+        outgoing = self._http().build_request(
+            "POST",
+            f"http://{address}{FORWARD_PATH}",
+            headers=headers,
+            content=request.body.chunks(),
+            timeout=httpx.Timeout(max(remaining, 0.01), connect=CONNECT_TIMEOUT),
+        )
+        try:
+            response = await self._http().send(outgoing, stream=True)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            raise _base.PeerError(f"{address}: {error!r}") from error
+        except httpx.HTTPError as error:
+            raise _base.PeerError(f"{address}: {error!r}", sent=True) from error
+        return await self._answer(address, response)
+
+    async def _answer(self, address, response):
+        headers = [(k.lower(), v) for k, v in response.headers.raw]
+        verdict = messages.find(headers, messages.VERDICT)
+        if messages.find(headers, FORWARD) is None or verdict is None:
+            await response.aclose()
+            raise _base.PeerError(
+                f"{address}: status {response.status_code}, not from the process asked",
+                sent=True,
+            )
+        kept = [
+            (k, v)
+            for k, v in headers
+            if k not in messages.HOP_BY_HOP and k not in (FORWARD, b"date", b"server")
+        ]
+        return messages.Answer(
+            response.status_code,
+            kept,
+            _forwarded_body(response),
+            errors.Verdict(verdict.decode()),
+        )
+
+    async def _bulk(self, method, address, path, content=b""):
+        signature = self.signer.sign(
+            self.clock.wall(), method.encode(), path.encode(), content
+        )
+        try:
+            response = await self._http().request(
+                method,
+                f"http://{address}{path}",
+                headers={SIGNATURE.decode(): signature.decode()},
+                content=content,
+            )
+        except httpx.HTTPError as error:
+            raise _base.PeerError(f"{address}: {error!r}", sent=True) from error
+        if response.status_code != 200:
+            raise _base.PeerError(
+                f"{address}: status {response.status_code}", sent=True
+            )
+        return response.content
+
+    async def fetch_configuration(self, address):
+        """Return a peer's configuration bundle."""
+        return _tables.decode_bundle(
+            await self._bulk("GET", address, CONFIGURATION_PATH)
+        )
+
+    async def hand_over(self, address, sealed):
+        """Give a sealed table to a peer."""
+        await self._bulk("POST", address, SEALED_PATH, _tables.encode_sealed(sealed))
+
+    async def aclose(self):
+        """Close the socket and all connections."""
+        self.udp.close()
+        if self._client is not None:
+            await self._client.aclose()
+
+
+async def _forwarded_body(response):
+    try:
+        async for chunk in response.aiter_raw():
+            yield chunk
+    except httpx.HTTPError as error:
+        raise errors.TruncatedAnswerError(repr(error)) from error
+    finally:
+        await response.aclose()
--- /dev/null
+++ b/boragegw/server/_peer_application.py
@@ -0,0 +1,161 @@
+"""The peer-facing HTTP interface: forwards and bulk transfers, all signed."""
+
+import logging
+
+import litestar
+import litestar.types
+
+from boragegw import errors, messages, peers
+from boragegw.peers import _http, _tables
+
+logger = logging.getLogger(__name__)
+
+SEALED_LIMIT = 256 << 20
+
+
+class PeerApplication:
+    """Adapts ASGI to a :class:`Node`.
+
+    :param node: the node.
+    :param signer: a :class:`~boragegw.peers.RequestSigner`.
+    """
+
+    def __init__(self, node, signer):
+        self.node = node
+        self.signer = signer
+
+    def build(self):
+        """Return the ASGI application."""
+
+        @litestar.asgi("/peer", is_mount=True)
+        async def peer(
+            scope: litestar.types.Scope,
+            receive: litestar.types.Receive,
+            send: litestar.types.Send,
+        ) -> None:
+            await self.serve(scope, receive, send)
+
+        return litestar.Litestar([peer], openapi_config=None, logging_config=None)
+
+    async def serve(self, scope, receive, send):
+        """Serve one request of a peer."""
+        path = scope["raw_path"].decode("latin1")
+        routes = {
+            ("POST", _http.FORWARD_PATH): self._forward,
+            ("GET", _http.CONFIGURATION_PATH): self._configuration,
+            ("POST", _http.SEALED_PATH): self._sealed,
+        }
+        handler = routes.get((scope["method"], path))
+        if handler is None:
+            await _reply(send, 404)
+            return
+        await handler(scope, receive, send)
+
+    def _is_signed(self, scope, *parts):
+        value = messages.find(scope["headers"], _http.SIGNATURE, b"")
+        if self.signer.verify(self.node.clock.wall(), value, *parts):
+            return True
+        self.node.board.counters["peers.requests_refused"] += 1
+        return False
+
+    async def _forward(self, scope, receive, send):
+        described = messages.find(scope["headers"], _http.FORWARD, b"")
+        if not self._is_signed(scope, _http.FORWARD, described):
+            await _reply(send, 403)
+            return
+        lifecycle = self.node.board.lifecycle
+        lifecycle.in_flight += 1
+        try:
+            await self._carry(scope, receive, send, described)
+        finally:
+            lifecycle.in_flight -= 1
+
+    async def _carry(self, scope, receive, send, described):
+        fields = _http.unpack_forward(described)
+        incarnation, request_id, service, method, target, key, remaining, left = fields
+        skipped = (_http.FORWARD, _http.SIGNATURE)
+        request = messages.Request(
+            request_id=request_id,
+            service=service,
+            method=method,
+            target=target,
+            headers=[h for h in scope["headers"] if h[0] not in skipped],
+            body=messages.Body(_chunks(receive)),
+            deadline=self.node.clock.now() + remaining,
+            key=key,
+            retries_left=left,
+            trace=messages.find(scope["headers"], messages.TRACEPARENT),
+        )
+        answer = await self.node.carrier.carry_forwarded(incarnation, request)
+        if answer is None:
+            await _reply(send, 421)
+            return
+        await _send_answer(send, answer)
+
+    async def _configuration(self, scope, receive, send):
+        if not self._is_signed(scope, b"GET", _http.CONFIGURATION_PATH.encode(), b""):
+            await _reply(send, 403)
+            return
+        bundle = self.node.configuration.bundle()
+        await _reply(send, 200, _tables.encode_bundle(bundle))
+
+    async def _sealed(self, scope, receive, send):
+        content = bytearray()
+        async for chunk in _chunks(receive):
+            content += chunk
+            if len(content) > SEALED_LIMIT:
+                await _reply(send, 413)
+                return
+        raw = bytes(content)
+        if not self._is_signed(scope, b"POST", _http.SEALED_PATH.encode(), raw):
+            await _reply(send, 403)
+            return
+        try:
+            self.node.take_sealed(peers.decode_sealed(raw))
+        except peers.PeerError:
+            await _reply(send, 400)
+            return
+        await _reply(send, 200)
+
+
+async def _chunks(receive):
+    more = True
+    while more:
+        event = await receive()
+        if event["type"] == "http.disconnect":
+            raise errors.RequestError.not_run(
+                errors.Code.CALLER_GONE, "the forwarding peer went away"
+            )
+        more = event.get("more_body", False)
+        if event.get("body"):
+            yield event["body"]
+
+
+async def _reply(send, status, content=b""):
+    headers = [(b"content-length", str(len(content)).encode())]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": content})
+
+
+async def _send_answer(send, answer):
+    headers = [
+        *(h for h in answer.headers if h[0] != messages.VERDICT),
+        (messages.VERDICT, answer.verdict.value.encode()),
+        (_http.FORWARD, b"answer"),
+    ]
+    try:
+        await send(
+            {
+                "type": "http.response.start",
+                "status": answer.status,
+                "headers": headers,
+            }
+        )
+        async for chunk in answer.body:
+            part = {"type": "http.response.body", "body": chunk, "more_body": True}
+            await send(part)
+        await send({"type": "http.response.body", "body": b""})
+    except errors.TruncatedAnswerError as error:
+        logger.warning("forwarded answer broken off: %s", error)
+    finally:
+        await answer.aclose()
--- /dev/null
+++ b/boragegw/server/_process.py
@@ -0,0 +1,214 @@
+"""An entry process as it runs: settings, sockets, listeners, signals."""
+
+import asyncio
+import logging
+import random
+import secrets
+import signal
+import socket
+
+from boragegw import (
+    backends,
+    blackboard,
+    entry,
+    operations,
+    peers,
+    platform,
+    utils,
+)
+from boragegw.server import _listener, _node, _peer_application
+
+logger = logging.getLogger(__name__)
+
+METRICS_INTERVAL = 1.0
+
+
+def parameters_of(settings):
+    """Return the node's parameters in a settings model."""
+    return _node.NodeParameters(
+        heartbeat_interval=settings.peers.heartbeat_interval,
+        silence=settings.peers.silence,
+        watch_timeout=settings.platform.watch_timeout,
+        reads_per_second=settings.platform.reads_per_second,
+        lease_duration=settings.leases.duration,
+        retention=settings.leases.retention,
+        table_limit=settings.leases.table_limit,
+        answer_limit=settings.leases.stored_answer_limit,
+        stored_bytes=settings.leases.stored_bytes_limit,
+        request_limit=settings.limits.requests,
+        header_bytes=settings.limits.header_bytes,
+        shutdown_timeout=settings.limits.shutdown_timeout,
+        seeds=tuple(settings.peers.seeds),
+    )
+
+
+class EntryProcess:
+    """One ``boragegw serve``.
+
+    :param settings: a :class:`~boragegw.configuration.Settings`.
+    :param parameters: a :class:`NodeParameters`; ``None`` takes the settings'.
+    """
+
+    def __init__(self, settings, parameters=None):
+        self.settings = settings
+        self.parameters = parameters or parameters_of(settings)
+        self.node = None
+        self._listeners = []
+        self._tasks = utils.TaskGroupSet()
+        self._bind()
+
+    def _bind(self):
+        own = self.settings.entry
+        self._caller_socket = _listener.bind(own.caller_address)
+        self._operator_socket = _listener.bind(own.operator_address)
+        self._peer_socket, self._udp_socket = _bind_peer(own.peer_address)
+        self.caller_address = _listener.address_of(self._caller_socket)
+        self.operator_address = _listener.address_of(self._operator_socket)
+        self.peer_address = _listener.address_of(self._peer_socket)
+
+    def _build(self):
+        settings = self.settings
+        secret = settings.read_peer_key()
+        clock = utils.LoopClock()
+        identity = blackboard.Identity(
+            settings.entry.name,
+            settings.entry.data_centre,
+            secrets.randbits(64),
+            self.caller_address,
+            self.peer_address,
+        )
+        codec = peers.DatagramCodec(secret, identity.incarnation, clock)
+        udp = peers.UdpEndpoint(codec, None)
+        signer = peers.RequestSigner(secret)
+        observation = settings.observation
+        self.node = _node.Node(
+            identity,
+            clock=clock,
+            random_state=random.Random(identity.incarnation),
+            transport=backends.HttpBackendTransport(clock),
+            network=peers.HttpPeerNetwork(udp, signer, clock),
+            configuration_source=platform.HttpConfigurationSource(
+                settings.platform.addresses
+            ),
+            fleet_source=platform.HttpFleetSource(settings.platform.addresses),
+            secret=secret,
+            parameters=self.parameters,
+            tracer=operations.make_tracer(
+                observation.trace_target, observation.trace_ratio, identity.name
+            ),
+        )
+        udp.counters = self.node.board.counters
+        udp.on_message = self.node.take_message
+        self._udp = udp
+        self._build_listeners(signer)
+
+    def _build_listeners(self, signer):
+        node = self.node
+        caller = entry.CallerApplication(
+            node.board,
+            node.clock,
+            node.carrier,
+            node.directory,
+            self.parameters.header_bytes,
+        )
+        operator = operations.OperatorApplication(
+            node.board, node.clock, node.keys, lambda: node.ready
+        )
+        peer = _peer_application.PeerApplication(node, signer)
+        self._listeners = [
+            _listener.Listener(caller.build(), self._caller_socket, self.settings.tls),
+            _listener.Listener(operator.build(), self._operator_socket),
+            _listener.Listener(peer.build(), self._peer_socket),
+        ]
+
+    async def start(self):
+        """Listen, learn what is in force, and serve."""
+        self._build()
+        await self._udp.listen(self._udp_socket)
+        self._listening = [
+            self._tasks.start(listener.run_until_told(), "listener")
+            for listener in self._listeners
+        ]
+        observation = self.settings.observation
+        self._metrics = operations.MetricsReporter(
+            self.node.board,
+            self.node.clock,
+            self.node.keys,
+            observation.statsd,
+            observation.statsd_prefix,
+        )
+        self._tasks.start(self._report_metrics(), "metrics")
+        await self.node.start()
+
+    async def _report_metrics(self):
+        while True:
+            await asyncio.sleep(METRICS_INTERVAL)
+            self._metrics.flush()
+
+    async def stop(self):
+        """Stop gracefully; return whether all work in flight was finished."""
+        finished = await self.node.stop()
+        await self._close_listeners()
+        return finished
+
+    async def kill(self):
+        """End at once, as a crash would: nothing is announced or handed over."""
+        for sock in (self._caller_socket, self._operator_socket, self._peer_socket):
+            sock.close()
+        await self.node.close()
+        await self._close_listeners(force=True)
+
+    async def _close_listeners(self, force=False):
+        for listener in self._listeners:
+            listener.force_exit = force
+            listener.tell_to_stop()
+        if not force:
+            await asyncio.wait(self._listening)
+        await self._tasks.stop()
+
+    async def run(self):
+        """Serve until SIGTERM or SIGINT; a second signal ends at once.
+
+        :returns: the exit code: 0 if all work in flight was finished.
+        """
+        loop = asyncio.get_running_loop()
+        told = asyncio.Event()
+        again = asyncio.Event()
+
+        def on_signal():
+            (again if told.is_set() else told).set()
+
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, on_signal)
+        await self.start()
+        await told.wait()
+        logger.info("stopping")
+        stopping = loop.create_task(self.stop())
+        forced = loop.create_task(again.wait())
+        await asyncio.wait((stopping, forced), return_when=asyncio.FIRST_COMPLETED)
+        forced.cancel()
+        if stopping.done():
+            return 0 if stopping.result() else 1
+        logger.error("stopped at once by a second signal")
+        stopping.cancel()
+        return 1
+
+
+def _bind_peer(address):
+    """Return a TCP and a UDP socket on the same port.
+
+    With port 0 the kernel's choice for TCP may be taken for UDP; then try again.
+    """
+    for _ in range(20):
+        stream = _listener.bind(address)
+        try:
+            datagram = _listener.bind(
+                _listener.address_of(stream), kind=socket.SOCK_DGRAM
+            )
+        except Exception:
+            stream.close()
+            if not address.endswith(":0"):
+                raise
+            continue
+        return stream, datagram
+    raise OSError("no port free for both TCP and UDP")
--- /dev/null
+++ b/boragegw/standins/_backend.py
@@ -0,0 +1,253 @@
+"""A stand-in backend server: slots, cold start, shedding, drains, and faults."""
+
+import asyncio
+import dataclasses
+import hashlib
+import secrets
+
+from boragegw import backends
+from boragegw.server import _listener
+
+
+@dataclasses.dataclass(slots=True)
+class BackendFaults:
+    """Faults that tests and benchmarks switch on.
+
+    :param service_time: seconds that a request takes in a slot.
+    :param slow_factor: factor on the service time now (a noisy neighbour).
+    :param refuse: refuse everything as not run.
+    :param fail_fast: answer 500 at once.
+    :param crash_before: requests that end the connection before they run.
+    :param crash_after: requests that run and then end the connection.
+    :param wrong_echo: answers that carry another attempt's id.
+    :param truncate: answers that break off in the middle.
+    :param silent: requests that run and are never answered.
+    :param poison: a request with this text in its path crashes the server.
+    """
+
+    service_time: float = 0.005
+    slow_factor: float = 1.0
+    refuse: bool = False
+    fail_fast: bool = False
+    draining: bool = False
+    crash_before: int = 0
+    crash_after: int = 0
+    wrong_echo: int = 0
+    truncate: int = 0
+    silent: int = 0
+    poison: str = ""
+
+    def spend(self, name):
+        """Return whether a counted fault strikes now, and count it down."""
+        left = getattr(self, name)
+        if left <= 0:
+            return False
+        setattr(self, name, left - 1)
+        return True
+
+
+class StandinBackend:
+    """A backend server over HTTP.
+
+    :param name: its VM's name.
+    :param slots: requests run at once; as many again may wait.
+    :param cold_slots: requests borne at once while cold.
+    :param warm_up_requests: answers after which it is warm.
+    :param log: list that receives (name, key, path) of each run.
+    """
+
+    def __init__(
+        self,
+        name,
+        slots=6,
+        cold_slots=1,
+        warm_up_requests=20,
+        log=None,
+        address="127.0.0.1:0",
+    ):
+        self.name = name
+        self.slots = slots
+        self.cold_slots = cold_slots
+        self.warm_up_requests = warm_up_requests
+        self.log = [] if log is None else log
+        self.faults = BackendFaults()
+        self.incarnation = secrets.token_hex(4)
+        self.in_flight = 0
+        self.most_while_cold = 0
+        self.served = 0
+        self.probes = 0
+        self.downloads = {}
+        self._slots = asyncio.Semaphore(slots)
+        self._socket = _listener.bind(address)
+        self.address = _listener.address_of(self._socket)
+        self._listener = _listener.Listener(self, self._socket)
+        self._task = None
+
+    @property
+    def cold(self):
+        """Whether the server is still cold."""
+        return self.served < self.warm_up_requests
+
+    def restart(self):
+        """Become cold again under a new incarnation, connections cut."""
+        self.incarnation = secrets.token_hex(4)
+        self.served = 0
+        for connection in list(self._listener.server_state.connections):
+            connection.transport.abort()
+
+    async def start(self):
+        """Serve in the background."""
+        loop = asyncio.get_running_loop()
+        self._task = loop.create_task(self._listener.run_until_told())
+
+    async def stop(self):
+        """Stop at once."""
+        self._listener.force_exit = True
+        self._listener.tell_to_stop()
+        for connection in list(self._listener.server_state.connections):
+            connection.transport.abort()
+        await self._task
+
+    def _report(self):
+        return backends.format_report(
+            self.in_flight, self.cold, self.faults.draining, self.incarnation
+        ).encode()
+
+    async def __call__(self, scope, receive, send):
+        """Serve one request (ASGI)."""
+        headers = dict(scope["headers"])
+        exchange = _Exchange(self, scope, headers, receive, send)
+        if scope["path"] == "/boragegw/load":
+            self.probes += 1
+            await exchange.reply(200, b"")
+            return
+        body = await exchange.read_body()
+        if body is None:
+            return
+        await self._admit(exchange, scope, headers, body)
+
+    async def _admit(self, exchange, scope, headers, body):
+        faults = self.faults
+        if faults.poison and faults.poison in scope["path"]:
+            self.restart()
+            return
+        if faults.spend("crash_before"):
+            exchange.abort()
+            return
+        if faults.fail_fast:
+            await exchange.reply(500, b"failed")
+            return
+        full = self.in_flight >= 2 * self.slots
+        if faults.refuse or faults.draining or full:
+            await exchange.reply(503, b"", [(b"boragegw-verdict", b"not-run")])
+            return
+        self.in_flight += 1
+        if self.cold:
+            self.most_while_cold = max(self.most_while_cold, self.in_flight)
+        try:
+            async with self._slots:
+                await self._run(exchange, scope, headers, body)
+        finally:
+            self.in_flight -= 1
+
+    async def _run(self, exchange, scope, headers, body):
+        faults = self.faults
+        key = headers.get(b"idempotency-key", b"").decode()
+        self.log.append((self.name, key, scope["path"]))
+        await asyncio.sleep(faults.service_time * faults.slow_factor)
+        self.served += 1
+        if faults.spend("crash_after"):
+            exchange.abort()
+            return
+        if faults.spend("silent"):
+            await asyncio.sleep(3600)
+        content = self.downloads.get(scope["path"])
+        if content is not None:
+            await exchange.send_download(content)
+            return
+        digest = hashlib.sha256(body).hexdigest()
+        text = f"{scope['method']} {scope['path']} {key} {digest}".encode()
+        await exchange.reply(200, text)
+
+
+class _Exchange:
+    """One request and its answer at a stand-in backend server."""
+
+    def __init__(self, backend, scope, headers, receive, send):
+        self.backend = backend
+        self.scope = scope
+        self.headers = headers
+        self.receive = receive
+        self.send = send
+
+    async def read_body(self):
+        """Return the whole body, or ``None`` if the sender went away."""
+        content = bytearray()
+        more = True
+        while more:
+            event = await self.receive()
+            if event["type"] == "http.disconnect":
+                return None
+            content += event.get("body", b"")
+            more = event.get("more_body", False)
+        return bytes(content)
+
+    def abort(self):
+        """Cut this exchange's connection without an answer."""
+        owner = getattr(self.send, "__self__", None)
+        if owner is not None:
+            owner.transport.abort()
+
+    def _head(self, status, length, extra):
+        echo = self.headers.get(b"boragegw-attempt", b"")
+        if self.backend.faults.spend("wrong_echo"):
+            echo = b"another-attempt"
+        headers = [
+            (b"content-length", str(length).encode()),
+            (b"boragegw-attempt", echo),
+            (b"boragegw-load", self.backend._report()),
+            *extra,
+        ]
+        return {"type": "http.response.start", "status": status, "headers": headers}
+
+    async def reply(self, status, content, extra=()):
+        """Answer with ``content``, perhaps breaking off half-way."""
+        await self.send(self._head(status, len(content), extra))
+        if content and self.backend.faults.spend("truncate"):
+            await self._break_off(content[: len(content) // 2])
+            return
+        await self.send({"type": "http.response.body", "body": content})
+
+    async def _break_off(self, part):
+        chunk = {"type": "http.response.body", "body": part, "more_body": True}
+        await self.send(chunk)
+        await asyncio.sleep(0)
+        self.abort()
+
+    async def send_download(self, content):
+        """Answer a download, whole or from a byte on, in small parts."""
+        etag = b'"' + hashlib.sha256(content).hexdigest()[:16].encode() + b'"'
+        extra = [(b"etag", etag), (b"accept-ranges", b"bytes")]
+        status, start = 200, 0
+        wanted = self.headers.get(b"range", b"")
+        if wanted and self.headers.get(b"if-range", etag) == etag:
+            start = int(wanted.removeprefix(b"bytes=").partition(b"-")[0])
+            status = 206
+            span = f"bytes {start}-{len(content) - 1}/{len(content)}"
+            extra.append((b"content-range", span.encode()))
+        part = content[start:]
+        await self.send(self._head(status, len(part), extra))
+        if self.backend.faults.spend("truncate"):
+            await self._break_off(part[: len(part) // 2])
+            return
+        await self._send_slowly(part)
+
+    async def _send_slowly(self, part):
+        step = 16_384
+        for offset in range(0, len(part), step):
+            more = offset + step < len(part)
+            chunk = part[offset : offset + step]
+            await self.send(
+                {"type": "http.response.body", "body": chunk, "more_body": more}
+            )
+            await asyncio.sleep(self.backend.faults.service_time)
--- /dev/null
+++ b/boragegw/standins/_caller.py
@@ -0,0 +1,130 @@
+"""A caller as the users write theirs: asks for entries, makes keys, sends again."""
+
+import dataclasses
+import itertools
+
+import httpx
+
+
+@dataclasses.dataclass(slots=True)
+class CallerAnswer:
+    """What a caller got.
+
+    :param verdict: text of the verdict header, "" if there was no answer.
+    """
+
+    status: int
+    verdict: str
+    body: bytes
+    request_id: str = ""
+    code: str = ""
+
+
+class Caller:
+    """One caller.
+
+    :param name: tells callers apart.
+    :param addresses: addresses of entries to ask first.
+    """
+
+    def __init__(self, name, addresses, timeout=30.0):
+        self.name = name
+        self.addresses = list(addresses)
+        self._client = httpx.AsyncClient(trust_env=False, timeout=timeout)
+        self._kept = {}
+        self._numbers = itertools.count(1)
+
+    async def entries(self, service, refresh=False):
+        """Return the answer to ``/v1/entries``, kept until it is refreshed."""
+        if refresh:
+            self._kept.pop(service, None)
+        if service not in self._kept:
+            self._kept[service] = await self._ask(service)
+        return self._kept[service]
+
+    async def _ask(self, service):
+        failure = None
+        for address in self.addresses:
+            try:
+                response = await self._client.get(
+                    f"http://{address}/v1/entries",
+                    params={"service": service},
+                    headers={"boragegw-caller": self.name},
+                )
+                response.raise_for_status()
+                return response.json()
+            except httpx.HTTPError as error:
+                failure = error
+        raise failure
+
+    async def new_key(self, service):
+        """Return a new idempotency key."""
+        kept = await self.entries(service)
+        return f"{kept['lease']}.{self.name}-{next(self._numbers)}"
+
+    async def send(self, service, method, path, content=b"", key="", headers=(), at=0):
+        """Send one request to the entry of the preference ``at`` and return it all.
+
+        :raises httpx.HTTPError: if there is no whole answer.
+        """
+        kept = await self.entries(service)
+        addresses = kept["entries"]
+        address = addresses[at % len(addresses)]
+        sent = dict(headers)
+        if key:
+            sent["idempotency-key"] = key
+        response = await self._client.request(
+            method,
+            f"http://{address}/v1/services/{service}{path}",
+            content=content,
+            headers=sent,
+        )
+        return CallerAnswer(
+            response.status_code,
+            response.headers.get("boragegw-verdict", ""),
+            response.content,
+            response.headers.get("boragegw-request-id", ""),
+            response.headers.get("boragegw-code", ""),
+        )
+
+    async def get(self, service, path, attempts=3):
+        """Send an idempotent request, to the next entry after a failure."""
+        answer = None
+        for attempt in range(attempts):
+            try:
+                answer = await self.send(service, "GET", path, at=attempt)
+            except httpx.HTTPError:
+                await self._refreshed(service)
+                continue
+            if answer.status < 500:
+                return answer
+        if answer is None:
+            raise httpx.TransportError("no answer")
+        return answer
+
+    async def post(self, service, path, content, attempts=3):
+        """Send a non-idempotent request; the same key on each resend."""
+        key = await self.new_key(service)
+        answer = None
+        for attempt in range(attempts):
+            try:
+                answer = await self.send(
+                    service, "POST", path, content, key, at=attempt
+                )
+            except httpx.HTTPError:
+                continue
+            if answer.status < 500 or answer.verdict == "not-run":
+                break
+        if answer is None or answer.verdict == "not-run":
+            await self._refreshed(service)
+        return key, answer
+
+    async def _refreshed(self, service):
+        try:
+            await self.entries(service, refresh=True)
+        except httpx.HTTPError:
+            return
+
+    async def aclose(self):
+        """Close the connections."""
+        await self._client.aclose()
