--- a/boragegw/standins/__init__.py
+++ b/boragegw/standins/__init__.py
@@ -3,14 +3,38 @@
 from boragegw.standins._backend import BackendFaults, StandinBackend
 from boragegw.standins._caller import Caller, CallerAnswer
 from boragegw.standins._fleet import LocalFleet
+from boragegw.standins._history import AnswerEvent, violations
 from boragegw.standins._platform import PublishedState, StandinPlatform
+from boragegw.standins._virtual_backend import (
+    RunEvent,
+    VirtualBackend,
+    VirtualFaults,
+    VirtualTransport,
+)
+from boragegw.standins._virtual_fleet import ServiceShape, VirtualFleet
+from boragegw.standins._virtual_network import (
+    VirtualNetwork,
+    VirtualPlatform,
+    VirtualWorld,
+)
 
 __all__ = [
+    "AnswerEvent",
     "BackendFaults",
     "Caller",
     "CallerAnswer",
     "LocalFleet",
     "PublishedState",
+    "RunEvent",
+    "ServiceShape",
     "StandinBackend",
     "StandinPlatform",
+    "VirtualBackend",
+    "VirtualFaults",
+    "VirtualFleet",
+    "VirtualNetwork",
+    "VirtualPlatform",
+    "VirtualTransport",
+    "VirtualWorld",
+    "violations",
 ]
