--- a/boragegw/entry/_carrier.py
+++ b/boragegw/entry/_carrier.py
@@ -58,8 +58,7 @@
         finally:
             span.end(outcome=note.outcome)
         note.verdict = answer.verdict.value
-        answer.headers.append((messages.VERDICT, answer.verdict.value.encode()))
-        answer.headers.append((messages.REQUEST_ID, request.request_id.encode()))
+        _stamp(answer, request)
         return answer
 
     def _open_note(self, request):
@@ -217,6 +216,16 @@
         return answer
 
 
+def _stamp(answer, request):
+    """Put verdict and request id on an answer once, also on a forwarded one."""
+    stamps = {
+        messages.VERDICT: answer.verdict.value.encode(),
+        messages.REQUEST_ID: request.request_id.encode(),
+    }
+    kept = [header for header in answer.headers if header[0] not in stamps]
+    answer.headers[:] = kept + list(stamps.items())
+
+
 def _unknown_service():
     return errors.RequestError.not_run(
         errors.Code.UNKNOWN_SERVICE, "no such service; nothing was run"
--- /dev/null
+++ b/boragegw/entry/tests/test_caller_contract.py
@@ -0,0 +1,349 @@
+"""The callers' interface over real sockets, cases in tables."""
+
+import asyncio
+import hashlib
+import json
+
+import httpx
+import pytest
+
+from boragegw import server, standins
+
+SERVICES = [
+    {
+        "name": "filing",
+        "backends": 1,
+        "warm_up_ms": 0,
+        "deadline_ms": 3000,
+        "non_idempotent_body_limit": 1000,
+        "requests": [
+            {"method": "PUT", "path_prefix": "/drafts", "idempotent": True},
+        ],
+    }
+]
+
+
+def parameters():
+    return server.NodeParameters(
+        heartbeat_interval=0.1,
+        refresh_interval=0.1,
+        leave_grace=0.3,
+        shutdown_timeout=10.0,
+        header_bytes=8192,
+    )
+
+
+def with_fleet(folder, scenario, entries=3, services=SERVICES):
+    """Run ``scenario(fleet)`` on a started fleet."""
+
+    async def run():
+        fleet = standins.LocalFleet(folder, services, entries, parameters)
+        try:
+            await fleet.start()
+            return await scenario(fleet)
+        finally:
+            await fleet.stop()
+
+    return asyncio.run(run())
+
+
+async def raw_exchange(address, content):
+    """Send bytes and return all that comes back until the other end closes."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(content)
+    async with asyncio.timeout(5):
+        answer = await reader.read()
+    writer.close()
+    return answer
+
+
+PATH = "/v1/services/filing"
+REFUSALS = {
+    "unknown service": (
+        "GET",
+        "/v1/services/nothing/x",
+        {},
+        b"",
+        404,
+        "unknown-service",
+    ),
+    "unknown path": ("GET", "/v2/else", {}, b"", 404, "not-found"),
+    "no key": ("POST", f"{PATH}/x", {}, b"a", 428, "key-required"),
+    "key without lease": (
+        "POST",
+        f"{PATH}/x",
+        {"idempotency-key": "mine"},
+        b"a",
+        400,
+        "key-invalid",
+    ),
+    "forged lease": (
+        "POST",
+        f"{PATH}/x",
+        {"idempotency-key": "AAAA.mine"},
+        b"a",
+        400,
+        "key-invalid",
+    ),
+    "deadline is no number": (
+        "GET",
+        f"{PATH}/x",
+        {"boragegw-deadline-ms": "soon"},
+        b"",
+        400,
+        "bad-request",
+    ),
+    "deadline out of range": (
+        "GET",
+        f"{PATH}/x",
+        {"boragegw-deadline-ms": "0"},
+        b"",
+        400,
+        "bad-request",
+    ),
+    "retries out of range": (
+        "GET",
+        f"{PATH}/x",
+        {"boragegw-retries-left": "99"},
+        b"",
+        400,
+        "bad-request",
+    ),
+    "headers too large": (
+        "GET",
+        f"{PATH}/x",
+        {"x": "y" * 9000},
+        b"",
+        400,
+        "bad-request",
+    ),
+    "body too large": (
+        "POST",
+        f"{PATH}/x",
+        {"idempotency-key": "AAAA.mine"},
+        b"a" * 1001,
+        413,
+        "body-too-large",
+    ),
+    "entries without service": ("GET", "/v1/entries", {}, b"", 400, "bad-request"),
+    "entries of unknown service": (
+        "GET",
+        "/v1/entries?service=no",
+        {},
+        b"",
+        404,
+        "unknown-service",
+    ),
+}
+
+
+def test_refusals_say_not_run_with_a_stable_code(tmp_path):
+    async def scenario(fleet):
+        address = fleet.entries["entry-1"].caller_address
+        async with httpx.AsyncClient(trust_env=False) as client:
+            for name, case in REFUSALS.items():
+                method, path, headers, content, status, code = case
+                answer = await client.request(
+                    method, f"http://{address}{path}", headers=headers, content=content
+                )
+                assert answer.status_code == status, (name, answer.text)
+                assert answer.headers["boragegw-verdict"] == "not-run", name
+                problem = answer.json()
+                assert problem["code"] == code, name
+                assert answer.headers["content-type"] == "application/problem+json"
+        return list(fleet.runs)
+
+    assert with_fleet(tmp_path, scenario) == []
+
+
+MALFORMED = {
+    "two lengths": (
+        b"POST /v1/services/filing/x HTTP/1.1\r\nhost: a\r\n"
+        b"content-length: 1\r\ncontent-length: 2\r\n\r\nab"
+    ),
+    "length and chunks": (
+        b"POST /v1/services/filing/x HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n"
+        b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n"
+    ),
+    "not HTTP": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+    "endless headers": (
+        b"GET /v1/services/filing/x HTTP/1.1\r\nhost: a\r\n"
+        + b"".join(b"x-%d: %s\r\n" % (i, b"y" * 500) for i in range(199))
+        + b"\r\n"
+    ),
+}
+
+
+def test_malformed_requests_get_400_and_run_nothing(tmp_path):
+    async def scenario(fleet):
+        address = fleet.entries["entry-1"].caller_address
+        for name, content in MALFORMED.items():
+            answer = await raw_exchange(address, content)
+            assert answer.startswith(b"HTTP/1.1 400"), (name, answer)
+            problem = json.loads(answer.partition(b"\r\n\r\n")[2])
+            assert problem["verdict"] == "not-run", name
+        return list(fleet.runs)
+
+    assert with_fleet(tmp_path, scenario) == []
+
+
+def test_internal_headers_do_not_cross(tmp_path):
+    """A caller could claim an attempt id or a verdict and have it believed."""
+    seen = {}
+
+    async def scenario(fleet):
+        for backend in fleet.backends.values():
+            original = backend._admit
+
+            async def spy(exchange, scope, headers, body, original=original):
+                seen.update(headers)
+                await original(exchange, scope, headers, body)
+
+            backend._admit = spy
+        caller = fleet.caller("c")
+        headers = {
+            "boragegw-attempt": "forged",
+            "boragegw-verdict": "ran",
+            "connection": "x-private",
+            "x-private": "1",
+            "x-public": "2",
+        }
+        return await caller.send("filing", "GET", "/x", headers=headers)
+
+    answer = with_fleet(tmp_path, scenario)
+    assert answer.status == 200
+    assert seen[b"boragegw-attempt"] != b"forged"
+    assert b"boragegw-verdict" not in seen
+    assert b"x-private" not in seen
+    assert seen[b"x-public"] == b"2"
+    assert 0 < int(seen[b"boragegw-deadline-ms"]) <= 3000
+
+
+def test_resend_to_any_entry_gets_the_stored_answer(tmp_path):
+    async def scenario(fleet):
+        caller = fleet.caller("c")
+        key = await caller.new_key("filing")
+        answers = [
+            await caller.send("filing", "POST", "/returns/1", b"a", key, at=at)
+            for at in (0, 1, 2)
+        ]
+        changed = await caller.send("filing", "POST", "/returns/1", b"b", key, at=1)
+        stolen = await caller.send(
+            "filing",
+            "POST",
+            "/returns/1",
+            b"a",
+            key,
+            headers={"authorization": "Bearer other"},
+        )
+        return answers, changed, stolen, list(fleet.runs)
+
+    answers, changed, stolen, runs = with_fleet(tmp_path, scenario)
+    assert [answer.status for answer in answers] == [200, 200, 200]
+    assert len({answer.body for answer in answers}) == 1
+    assert len(runs) == 1
+    for refused in (changed, stolen):
+        assert (refused.status, refused.code) == (422, "key-reused")
+
+
+def test_home_killed_means_may_have_run_and_no_second_run(tmp_path):
+    """A filer sends again after an entry has died; the return must not run twice.
+
+    The first send ran and its answer was lost with the process that knew of it.
+    """
+
+    async def scenario(fleet):
+        caller = fleet.caller("c")
+        kept = await caller.entries("filing")
+        key = await caller.new_key("filing")
+        await caller.send("filing", "POST", "/returns/1", b"a", key)
+        home = next(
+            process
+            for process in fleet.entries.values()
+            if process.caller_address == kept["entries"][0]
+        )
+        await home.kill()
+        resend = await caller.send("filing", "POST", "/returns/1", b"a", key, at=1)
+        return resend, list(fleet.runs)
+
+    resend, runs = with_fleet(tmp_path, scenario)
+    assert (resend.status, resend.verdict) == (503, "may-have-run")
+    assert resend.code == "home-unreachable"
+    assert len(runs) == 1
+
+
+def test_broken_download_is_resumed_without_the_caller_noticing(tmp_path):
+    """An engineer's archive stops half-way when a backend server goes away.
+
+    The rest is fetched from another server by Range, checked by entity tag.
+    """
+    content = bytes(range(256)) * 2000
+
+    async def scenario(fleet):
+        for backend in fleet.backends.values():
+            backend.downloads["/archive"] = content
+            backend.faults.truncate = 1
+        caller = fleet.caller("c")
+        answer = await caller.send("filing", "GET", "/archive")
+        counters = [p.node.board.counters for p in fleet.entries.values()]
+        return answer, sum(c["requests.resumed"] for c in counters)
+
+    answer, resumed = with_fleet(tmp_path, scenario)
+    assert answer.body == content
+    assert resumed >= 1
+
+
+def test_truncated_answer_is_never_whole(tmp_path):
+    """An accountant reads half a status page as if it were all of it."""
+
+    async def scenario(fleet):
+        for backend in fleet.backends.values():
+            backend.faults.truncate = 100
+        caller = fleet.caller("c")
+        with pytest.raises(httpx.HTTPError):
+            await caller.send("filing", "GET", "/status")
+
+    with_fleet(tmp_path, scenario)
+
+
+def test_vanished_caller_frees_its_place(tmp_path):
+    """Callers give up on slow answers; the places they held must come free.
+
+    The caller closes its connection; the attempt is cancelled at the backend server.
+    """
+
+    async def scenario(fleet):
+        for backend in fleet.backends.values():
+            backend.faults.service_time = 60.0
+        address = fleet.entries["entry-1"].caller_address
+        host, _, port = address.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /v1/services/filing/x HTTP/1.1\r\nhost: a\r\n\r\n")
+        board = fleet.entries["entry-1"].node.board
+        service = board.services["filing"]
+
+        def in_flight():
+            return sum(b.own_in_flight for b in service.backends.values())
+
+        await fleet.wait_for(lambda: in_flight() == 1)
+        writer.transport.abort()
+        await fleet.wait_for(lambda: in_flight() == 0)
+        await fleet.wait_for(lambda: board.counters["requests.caller_gone"] == 1)
+
+    with_fleet(tmp_path, scenario)
+
+
+def test_idempotent_upload_is_streamed(tmp_path):
+    async def scenario(fleet):
+        async def parts():
+            for number in range(50):
+                yield bytes([number]) * 10_000
+
+        caller = fleet.caller("c")
+        return await caller.send("filing", "PUT", "/drafts/1", parts())
+
+    answer = with_fleet(tmp_path, scenario)
+    assert answer.status == 200
+    whole = b"".join(bytes([number]) * 10_000 for number in range(50))
+    assert hashlib.sha256(whole).hexdigest().encode() in answer.body
--- a/boragegw/server/_listener.py
+++ b/boragegw/server/_listener.py
@@ -111,6 +111,15 @@
         """Serve until :meth:`tell_to_stop`."""
         await self.serve(sockets=[self.sock])
 
+    def abort(self):
+        """Stop listening and cut all connections at once, as a crash does."""
+        for listening in getattr(self, "servers", ()):
+            listening.close()
+        for connection in list(self.server_state.connections):
+            connection.transport.abort()
+        self.force_exit = True
+        self.should_exit = True
+
     def tell_to_stop(self):
         """Accept no more connections; requests in flight are finished."""
         self.should_exit = True
--- a/boragegw/server/_process.py
+++ b/boragegw/server/_process.py
@@ -153,17 +153,18 @@
 
     async def kill(self):
         """End at once, as a crash would: nothing is announced or handed over."""
-        for sock in (self._caller_socket, self._operator_socket, self._peer_socket):
-            sock.close()
+        for listener in self._listeners:
+            listener.abort()
         await self.node.close()
-        await self._close_listeners(force=True)
+        await self._end_tasks()
 
-    async def _close_listeners(self, force=False):
+    async def _close_listeners(self):
         for listener in self._listeners:
-            listener.force_exit = force
             listener.tell_to_stop()
-        if not force:
-            await asyncio.wait(self._listening)
+        await self._end_tasks()
+
+    async def _end_tasks(self):
+        await asyncio.wait(self._listening)
         await self._tasks.stop()
 
     async def run(self):
--- a/boragegw/standins/_backend.py
+++ b/boragegw/standins/_backend.py
@@ -102,10 +102,7 @@
 
     async def stop(self):
         """Stop at once."""
-        self._listener.force_exit = True
-        self._listener.tell_to_stop()
-        for connection in list(self._listener.server_state.connections):
-            connection.transport.abort()
+        self._listener.abort()
         await self._task
 
     def _report(self):
--- a/boragegw/standins/_caller.py
+++ b/boragegw/standins/_caller.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import time
 
 import httpx
 
@@ -35,16 +36,19 @@
         self._numbers = itertools.count(1)
 
     async def entries(self, service, refresh=False):
-        """Return the answer to ``/v1/entries``, kept until it is refreshed."""
-        if refresh:
-            self._kept.pop(service, None)
-        if service not in self._kept:
-            self._kept[service] = await self._ask(service)
-        return self._kept[service]
+        """Return the answer to ``/v1/entries``, kept for as long as it says."""
+        kept_at, kept = self._kept.get(service, (0.0, None))
+        now = time.monotonic()
+        if refresh or kept is None or now - kept_at > kept["keep_for_ms"] / 1000:
+            kept = await self._ask(service)
+            self._kept[service] = (now, kept)
+        return kept
 
     async def _ask(self, service):
-        failure = None
-        for address in self.addresses:
+        failure = httpx.TransportError("no entry is known")
+        _, kept = self._kept.get(service, (0.0, None))
+        known = [] if kept is None else kept["entries"]
+        for address in (*known, *self.addresses):
             try:
                 response = await self._client.get(
                     f"http://{address}/v1/entries",
--- a/boragegw/standins/_platform.py
+++ b/boragegw/standins/_platform.py
@@ -162,6 +162,5 @@
 
     async def stop(self):
         """Stop at once."""
-        self._listener.force_exit = True
-        self._listener.tell_to_stop()
+        self._listener.abort()
         await self._task
