--- a/boragegw/cli/_main.py
+++ b/boragegw/cli/_main.py
@@ -8,10 +8,18 @@
 
 import boragegw
 from boragegw import errors
-from boragegw.cli import _check, _demo, _serve
+from boragegw.cli import (
+    _check,
+    _configure,
+    _demo,
+    _platform,
+    _recall,
+    _serve,
+    _status,
+)
 
 EXIT_BAD_INPUT = 2
-COMMANDS = (_serve, _check, _demo)
+COMMANDS = (_configure, _check, _serve, _recall, _status, _demo, _platform)
 
 
 def make_parser():
--- /dev/null
+++ b/boragegw/cli/tests/test_end_to_end.py
@@ -0,0 +1,226 @@
+"""From an empty folder to a recall, through the real command line."""
+
+import asyncio
+import json
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import httpx
+import pytest
+
+from boragegw import cli, standins
+
+ANSWERS = {
+    "team": "test",
+    "data_centres": ["dc-a", "dc-b"],
+    "entries": 3,
+    "services": [
+        {
+            "name": "claims",
+            "requests": [
+                {"method": "POST", "repeatable": False, "if_doubled": "high"},
+                {"method": "GET", "repeatable": True},
+            ],
+            "deadline_s": 5,
+            "backend_servers": 2,
+            "slots": 2,
+            "connections": 60,
+            "cold_start_s": 0.2,
+            "cold_bears": 1,
+            "peak_per_s": 10,
+        }
+    ],
+}
+LIMIT = 30.0
+
+
+def free_addresses(count):
+    """Return addresses with ports that the kernel has just chosen."""
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    addresses = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return addresses
+
+
+def wait_until(condition):
+    end = time.monotonic() + LIMIT
+    while not condition():
+        assert time.monotonic() < end, "waited too long"
+        time.sleep(0.05)
+
+
+class BackendThread:
+    """Stand-in backend servers in a thread of the test."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.backends = {}
+        self.thread = threading.Thread(target=self._run, daemon=True)
+        self.thread.start()
+
+    def _run(self):
+        asyncio.set_event_loop(self.loop)
+        self.loop.run_forever()
+
+    def call(self, coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(LIMIT)
+
+    def add(self, name):
+        async def start():
+            backend = standins.StandinBackend(name, slots=2, warm_up_requests=0)
+            await backend.start()
+            return backend
+
+        self.backends[name] = self.call(start())
+
+    def stop(self):
+        for backend in self.backends.values():
+            self.call(backend.stop())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(LIMIT)
+
+
+class Site:
+    """A folder with everything, and the processes started from it."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.documents = folder / "documents"
+        self.processes = []
+        self.backends = BackendThread()
+        addresses = free_addresses(10)
+        self.platform = addresses[0]
+        self.entries = [addresses[1 + 3 * i : 4 + 3 * i] for i in range(3)]
+
+    def start_process(self, *arguments):
+        process = subprocess.Popen(
+            [sys.executable, "-m", "boragegw", *arguments],
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
+        self.processes.append(process)
+        return process
+
+    def write_settings(self, index):
+        caller, operator, peer = self.entries[index]
+        settings = {
+            "entry": {
+                "name": f"entry-{index + 1}",
+                "data_centre": ("dc-a", "dc-b")[index % 2],
+                "caller_address": caller,
+                "operator_address": operator,
+                "peer_address": peer,
+            },
+            "platform": {"addresses": [self.platform]},
+            "peers": {"key_file": "peer.key", "heartbeat_interval": 0.2},
+        }
+        path = self.folder / f"entry-{index + 1}.jsonc"
+        path.write_text("// made by the test\n" + json.dumps(settings))
+        return path
+
+    def write_vms(self):
+        rows = [
+            {
+                "name": name,
+                "role": "backend",
+                "address": backend.address,
+                "data_centre": name.partition("/")[0].removeprefix("claims-"),
+                "service": "claims",
+                "slots": 2,
+            }
+            for name, backend in self.backends.backends.items()
+        ]
+        rows += [
+            {
+                "name": f"entry-{index + 1}",
+                "role": "entry",
+                "address": caller,
+                "peer_address": peer,
+                "data_centre": ("dc-a", "dc-b")[index % 2],
+            }
+            for index, (caller, _, peer) in enumerate(self.entries)
+        ]
+        content = json.dumps({"version": 1, "vms": rows})
+        (self.documents / "vms.json").write_text(content)
+
+    def is_ready(self, index):
+        try:
+            answer = httpx.get(f"http://{self.entries[index][1]}/ops/ready")
+        except httpx.HTTPError:
+            return False
+        return answer.status_code == 200
+
+    def stop(self):
+        for process in self.processes:
+            if process.poll() is None:
+                process.kill()
+            process.wait(LIMIT)
+        self.backends.stop()
+
+
+@pytest.fixture
+def site(tmp_path):
+    made = Site(tmp_path)
+    yield made
+    made.stop()
+
+
+def test_configure_serve_recall_return_stop(site, capsys):
+    answers = site.folder / "answers.jsonc"
+    answers.write_text(json.dumps(ANSWERS))
+    (site.folder / "peer.key").write_bytes(b"end-to-end-test-key")
+    documents = str(site.documents)
+    assert cli.main(["configure", str(answers), "--output", documents]) == 0
+    for name in ("claims-dc-a", "claims-dc-b"):
+        site.backends.add(name)
+    site.write_vms()
+    site.start_process("platform", documents, "--address", site.platform)
+    entries = [
+        site.start_process("serve", "--settings", str(site.write_settings(index)))
+        for index in range(3)
+    ]
+    wait_until(lambda: all(site.is_ready(index) for index in range(3)))
+    _send_requests(site)
+    _recall_and_return(site, documents, capsys)
+    for process in entries:
+        process.send_signal(signal.SIGTERM)
+    assert [process.wait(LIMIT) for process in entries] == [0, 0, 0]
+
+
+def _send_requests(site):
+    caller = site.entries[0][0]
+    found = httpx.get(f"http://{caller}/v1/entries", params={"service": "claims"})
+    kept = found.json()
+    for number in range(20):
+        entry = kept["entries"][number % len(kept["entries"])]
+        url = f"http://{entry}/v1/services/claims/sheets/{number}"
+        key = f"{kept['lease']}.{number}"
+        answer = httpx.post(url, content=b"x", headers={"idempotency-key": key})
+        assert answer.status_code == 200, answer.text
+        assert answer.headers["boragegw-verdict"] == "ran"
+    runs = [run for b in site.backends.backends.values() for run in b.log]
+    assert len(runs) == 20
+    request_id = answer.headers["boragegw-request-id"]
+    home = next(e for e in site.entries if e[0] == entry)
+    assert cli.main(["explain", request_id, "--entry", home[1]]) == 0
+
+
+def _recall_and_return(site, documents, capsys):
+    operator = site.entries[2][1]
+    places = ["--published", documents, "--output", documents, "--wait", operator]
+    assert cli.main(["recall", "data-centre:dc-b", *places]) == 0
+    assert "is in force on all entries" in capsys.readouterr().out
+    assert cli.main(["status", "--entry", operator]) == 0
+    shown = capsys.readouterr().out
+    assert "recalled: data-centre dc-b" in shown
+    assert shown.count("serving") == 3
+    page = httpx.get(f"http://{operator}/")
+    assert "entry-3" in page.text
+    assert cli.main(["return", "data-centre:dc-b", *places]) == 0
--- a/boragegw/configuration/_documents.py
+++ b/boragegw/configuration/_documents.py
@@ -11,6 +11,7 @@
 
 HEAD = "head"
 RECALLS = "recalls"
+BATCHES = "batches"
 SERVICE_PREFIX = "service."
 DOCUMENT_LIMIT = 1 << 20
 VM_LIST_LIMIT = 16 << 20
@@ -110,6 +111,20 @@
         )
 
 
+class BatchRow(_Model):
+    """A batch with a name to recall it by."""
+
+    name: _settings.Name
+    kind: typing.Literal["data-centre", "release", "label", "vms"]
+    values: list[_settings.Name] = pydantic.Field(min_length=1)
+
+
+class BatchesDocument(_Model):
+    """The named batches; the command line reads them, entries do not."""
+
+    batches: list[BatchRow] = []
+
+
 class VmRow(_Model):
     """One VM of the platform's list."""
 
@@ -133,6 +148,9 @@
     vms: list[VmRow]
 
 
+_MODELS = {RECALLS: RecallsDocument, BATCHES: BatchesDocument}
+
+
 def encode_document(model):
     """Return the canonical bytes of a document: same content, same bytes."""
     data = model.model_dump(mode="json") if not isinstance(model, dict) else model
@@ -169,15 +187,23 @@
 
     :raises ConfigurationError: for an unknown name or an invalid document.
     """
-    if name == RECALLS:
-        return _parse(RecallsDocument, raw, name)
+    document = _parse(model_of(name), raw, name)
+    if name.startswith(SERVICE_PREFIX) and name != SERVICE_PREFIX + document.name:
+        raise errors.ConfigurationError(
+            name, "name", f"{document.name!r}, expected the document's own name"
+        )
+    return document
+
+
+def model_of(name):
+    """Return the model class of the document ``name``.
+
+    :raises ConfigurationError: for an unknown kind.
+    """
     if name.startswith(SERVICE_PREFIX):
-        document = _parse(ServiceDocument, raw, name)
-        if name != SERVICE_PREFIX + document.name:
-            raise errors.ConfigurationError(
-                name, "name", f"{document.name!r}, expected the document's own name"
-            )
-        return document
+        return ServiceDocument
+    if name in _MODELS:
+        return _MODELS[name]
     raise errors.ConfigurationError(name, "document", "unknown kind of document")
 
 
@@ -200,7 +226,7 @@
         document = parse_document(name, raw)
         if name == RECALLS:
             recalls = document.to_recalls()
-        else:
+        elif name.startswith(SERVICE_PREFIX):
             services[document.name] = document.to_settings()
     return head, services, recalls
 
--- /dev/null
+++ b/boragegw/configuration/_published.py
@@ -0,0 +1,126 @@
+"""Reads what is published, from a folder or from the platform, and writes what is
+to be published next.
+"""
+
+import dataclasses
+import os
+import pathlib
+import tempfile
+
+import httpx
+
+from boragegw import errors
+from boragegw.configuration import _documents
+
+TIMEOUT = 5.0
+
+
+@dataclasses.dataclass(slots=True)
+class Published:
+    """What is published now.
+
+    :param documents: raw documents by name, without the head.
+    :param vms: raw list of VMs, or ``None`` if there is none.
+    """
+
+    revision: int = 0
+    documents: dict = dataclasses.field(default_factory=dict)
+    vms: bytes | None = None
+
+    def recalls(self):
+        """Return the recalls document in force."""
+        raw = self.documents.get(_documents.RECALLS)
+        if raw is None:
+            return _documents.RecallsDocument()
+        return _documents.parse_document(_documents.RECALLS, raw)
+
+    def batches(self):
+        """Return the named batches by name."""
+        raw = self.documents.get(_documents.BATCHES)
+        if raw is None:
+            return {}
+        document = _documents.parse_document(_documents.BATCHES, raw)
+        return {batch.name: batch for batch in document.batches}
+
+
+def read_published(place):
+    """Return the :class:`Published` state.
+
+    :param place: a folder, or ``http://HOST:PORT`` of the platform.
+    :raises ConfigurationError: if it cannot be read or is not whole.
+    """
+    if place.startswith(("http://", "https://")):
+        return _read_platform(place)
+    return _read_folder(pathlib.Path(place))
+
+
+def _read_folder(folder):
+    if not folder.is_dir():
+        raise errors.ConfigurationError(folder, "folder", "no such folder")
+    files = {path.stem: path for path in sorted(folder.glob("*.json"))}
+    vms = files.pop("vms", None)
+    head = files.pop(_documents.HEAD, None)
+    published = Published(vms=vms.read_bytes() if vms else None)
+    if head is None:
+        return published
+    parsed = _documents.parse_head(head.read_bytes())
+    documents = {
+        name: files[name].read_bytes() for name in parsed.documents if name in files
+    }
+    _documents.parse_bundle(head.read_bytes(), documents)
+    published.revision = parsed.revision
+    published.documents = documents
+    return published
+
+
+def _read_platform(address):
+    try:
+        with httpx.Client(base_url=address, timeout=TIMEOUT, trust_env=False) as client:
+            head = _get(client, "/v1/configuration/head")
+            parsed = _documents.parse_head(head)
+            documents = {
+                name: _get(client, f"/v1/configuration/documents/{name}")
+                for name in parsed.documents
+            }
+            vms = _get(client, "/v1/vms/watch?after=0&timeout=0")
+    except httpx.HTTPError as error:
+        raise errors.ConfigurationError(address, "platform", str(error)) from error
+    _documents.parse_bundle(head, documents)
+    return Published(parsed.revision, documents, vms)
+
+
+def _get(client, path):
+    answer = client.get(path)
+    answer.raise_for_status()
+    return answer.content
+
+
+def write_next(folder, published, changed):
+    """Write the next revision's head and the changed documents into ``folder``.
+
+    Everything is made and checked before the first file is put in place, and the head
+    comes last, so that a failure leaves no half-written set behind.
+
+    :param changed: raw documents by name.
+    :returns: the new revision.
+    """
+    documents = {**published.documents, **changed}
+    head = _documents.head_for(published.revision + 1, documents)
+    raw_head = _documents.encode_document(head)
+    _documents.parse_bundle(raw_head, documents)
+    folder = pathlib.Path(folder)
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        for name, raw in [*sorted(documents.items()), (_documents.HEAD, raw_head)]:
+            _replace(folder / f"{name}.json", raw)
+    except OSError as error:
+        raise errors.ConfigurationError(folder, "folder", error.strerror) from error
+    return head.revision
+
+
+def _replace(path, raw):
+    handle, temporary = tempfile.mkstemp(dir=path.parent, prefix=".")
+    with os.fdopen(handle, "wb") as file:
+        file.write(raw)
+    os.chmod(temporary, 0o644)
+    os.replace(temporary, path)
--- a/boragegw/entry/_application.py
+++ b/boragegw/entry/_application.py
@@ -50,7 +50,7 @@
         ) -> litestar.Response:
             return self._entries(request, service, data_centre)
 
-        @litestar.asgi(SERVICES_PATH, is_mount=True)
+        @litestar.asgi(SERVICES_PATH, is_mount=True, copy_scope=False)
         async def services(
             scope: litestar.types.Scope,
             receive: litestar.types.Receive,
--- a/boragegw/server/_peer_application.py
+++ b/boragegw/server/_peer_application.py
@@ -27,7 +27,7 @@
     def build(self):
         """Return the ASGI application."""
 
-        @litestar.asgi("/peer", is_mount=True)
+        @litestar.asgi("/peer", is_mount=True, copy_scope=False)
         async def peer(
             scope: litestar.types.Scope,
             receive: litestar.types.Receive,
--- a/boragegw/standins/_platform.py
+++ b/boragegw/standins/_platform.py
@@ -40,6 +40,12 @@
         self.head = configuration.encode_document(head)
         self._wake()
 
+    def replace(self, revision, documents):
+        """Publish a whole set under its own revision."""
+        self.documents = {}
+        self.revision = revision - 1
+        self.publish(documents)
+
     def publish_recalls(self, rows):
         """Publish the recalled batches: pairs (kind, values)."""
         document = configuration.RecallsDocument(
