One binary: a launcher that unpacks once to a memory file system and execs

Weighed: one-file modes of PyInstaller and Nuitka (each keeps a parent that starts a child), a zip application (needs the VM's Python and unpacks its extensions too).

--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,8 @@
 
 capacity: $(VENV)/installed
 	$(BIN)/python -m benchmarks.capacity
+
+binary: $(VENV)/installed
+	$(BIN)/pip install -q -c constraints.txt -e ".[binary]"
+	$(BIN)/python packaging/build.py
+	packaging/check-binary dist/boragegw
