--- a/boragegw/blackboard/_backends.py
+++ b/boragegw/blackboard/_backends.py
@@ -107,12 +107,14 @@
 class ServiceState:
     """One service's backend servers, queue and budgets. Writer: the dispatcher.
 
+    :param in_flight: this entry's requests in flight on all of them.
     :param waiting: requests that wait for a backend server, in order of arrival.
     :param finished: own requests finished (for rates).
     :param arrivals: times of recent arrivals, for the request rate.
     """
 
     settings: object
+    in_flight: int = 0
     backends: dict = dataclasses.field(default_factory=dict)
     waiting: collections.deque = dataclasses.field(default_factory=collections.deque)
     latency: float = 0.0
--- a/boragegw/controllers/_dispatcher.py
+++ b/boragegw/controllers/_dispatcher.py
@@ -27,6 +27,7 @@
         backend = self._place(service, excluded)
         if backend is not None:
             backend.own_in_flight += 1
+            service.in_flight += 1
         return backend
 
     async def acquire(self, service, *, harm, deadline, excluded=frozenset()):
@@ -119,6 +120,7 @@
 
     def _return_place(self, service, backend):
         backend.own_in_flight -= 1
+        service.in_flight -= 1
         self.pump(service)
 
     def pump(self, service):
--- a/boragegw/controllers/_gossip.py
+++ b/boragegw/controllers/_gossip.py
@@ -4,6 +4,7 @@
 
 TEMPERATURES = 12
 COUNTS = 80
+IDLE_SHARE = 0.02
 
 
 def backend_hash(name):
@@ -51,16 +52,26 @@
         live = self.services.live()
         own = self.board.identity.incarnation
         for name, service in self.board.services.items():
+            if self._is_idle(name, service):
+                continue
             counts = self._counts(name, service)
             subset = self.services.subset(service, live)
             others = [member for member in subset if member.incarnation != own]
-            if not counts and self.random_state.random() > 0.2:
-                continue
             digest = peers.LoadDigest(name, counts, self._some_temperatures(service))
             for member in others:
                 self.network.send(member.peer_address, digest)
         self._tell_somebody(live, own)
 
+    def _is_idle(self, name, service):
+        """Return whether there is nothing to tell of a service.
+
+        In a large fleet an entry serves few of the services. Of the others it tells
+        the temperatures now and then, which repairs what lost datagrams left out.
+        """
+        if service.in_flight or self._told.get(name):
+            return False
+        return self.random_state.random() > IDLE_SHARE
+
     def _counts(self, name, service):
         """Return the counts above zero, and the zeros that were told as more."""
         told = self._told.setdefault(name, {})
--- a/boragegw/controllers/_services.py
+++ b/boragegw/controllers/_services.py
@@ -16,6 +16,9 @@
         self.subsets = subsets
         self.membership = membership
         self.ramp = ramp
+        self._view = None
+        self._warmers_view = None
+        self._subsets = {}
 
     def refresh(self):
         """Bring everything up to date; cheap enough for each change and tick."""
@@ -76,14 +79,42 @@
         return self.membership.live_entries(self.board, self.clock.now())
 
     def subset(self, service, live=None):
-        """Return the entries that serve ``service`` (a ServiceState)."""
+        """Return the entries that serve ``service`` (a ServiceState).
+
+        Ranking all entries for each service is the dearest part of the control work
+        of a large fleet, so the result is kept until the view changes.
+        """
         settings = service.settings
         members = self.live() if live is None else live
-        return self.subsets.subset(settings.name, members, settings.subset_size)
+        self._note_view(members)
+        kept = self._subsets.get(settings.name)
+        if kept is None:
+            kept = self.subsets.subset(settings.name, members, settings.subset_size)
+            self._subsets[settings.name] = kept
+        return kept
+
+    def _note_view(self, members):
+        """Drop the subsets of another view, and return the view."""
+        view = (
+            self.board.configuration.revision,
+            self.board.fleet.version,
+            frozenset(member.incarnation for member in members),
+        )
+        if view != self._view:
+            self._view = view
+            self._subsets.clear()
+        return view
 
-    def refresh_warmers(self):
-        """Decide for each backend server whether this entry warms it."""
+    def refresh_warmers(self, force=True):
+        """Decide for each backend server whether this entry warms it.
+
+        :param force: also if the entries in sight are the same as last time.
+        """
         live = self.live()
+        view = self._note_view(live)
+        if view == self._warmers_view and not force:
+            return
+        self._warmers_view = view
         listed = {vm.data_centre for vm in self.board.fleet.entries()}
         own = self.board.identity.name
         for service in self.board.services.values():
--- a/boragegw/server/_node.py
+++ b/boragegw/server/_node.py
@@ -266,7 +266,7 @@
         self.keys.sweep(self.clock.wall())
 
     def _refresh(self):
-        self.services.refresh_warmers()
+        self.services.refresh_warmers(force=False)
         self.observer.recheck_draining()
         self.gossip.forget_silent(self.parameters.silence)
         self.membership.sweep_sealed()
