Seeded retry defect: provoke it by crossed answers

Crossed answers are a second way to "may have run" and bring it out again; the check itself is as strict as before.

--- a/boragegw/entry/tests/test_history.py
+++ b/boragegw/entry/tests/test_history.py
@@ -76,6 +76,8 @@
 
 
 HARD_SCHEDULE = [
+    (0.4, "answer is crossed", 1),
+    (1.0, "answer is crossed", 2),
     (0.3, "answer is lost", 0),
     (0.5, "answer is lost", 1),
     (0.6, "backend server crashes after it ran", 2),
