Hop: the first attempt in the request's own task, watch and fingerprint only when needed

Cause: each idempotent request paid two tasks (the race of attempts, the watch for the caller's going) and a fingerprint, though almost none is hedged, abandoned or quarantined. Now timers stand by and the tasks start when a timer fires; the fingerprint is made when a quarantine exists or a server crashes.

--- a/boragegw/entry/_connection.py
+++ b/boragegw/entry/_connection.py
@@ -5,6 +5,7 @@
 from boragegw import errors, messages
 
 UPLOAD_TIMEOUT = 30.0
+WATCH_AFTER = 0.02
 
 
 class CallerConnection:
@@ -21,6 +22,7 @@
         self.gone = False
         self._receive = receive
         self._serving = asyncio.current_task()
+        self._timer = None
         self._watcher = None
 
     def body(self, has_body, size_limit):
@@ -55,6 +57,11 @@
             ) from error
 
     def _start_watching(self):
+        """Watch for the caller's going, unless the answer comes at once."""
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(WATCH_AFTER, self._watch_now)
+
+    def _watch_now(self):
         loop = asyncio.get_running_loop()
         self._watcher = loop.create_task(self._watch())
 
@@ -73,5 +80,7 @@
 
     def close(self):
         """Stop watching."""
+        if self._timer is not None:
+            self._timer.cancel()
         if self._watcher is not None:
             self._watcher.cancel()
--- a/boragegw/entry/_executor.py
+++ b/boragegw/entry/_executor.py
@@ -36,7 +36,6 @@
     idempotent: bool
     harm: int
     note: blackboard.RequestNote
-    fingerprint: bytes
     headers: list
     made: int = 0
     excluded: frozenset = frozenset()
@@ -102,15 +101,16 @@
             idempotent=idempotent,
             harm=service.settings.harm(request.method, request.path),
             note=note,
-            fingerprint=request.fingerprint(),
             headers=headers,
         )
 
     def _refuse_quarantined(self, call):
         quarantine = self.policies.quarantine
-        if quarantine.covers(
-            self.board.quarantined, call.fingerprint, self.clock.now()
-        ):
+        quarantined = self.board.quarantined
+        if not quarantined:
+            return
+        fingerprint = call.request.fingerprint()
+        if quarantine.covers(quarantined, fingerprint, self.clock.now()):
             self.board.counters["requests.quarantined"] += 1
             raise errors.RequestError.not_run(
                 errors.Code.QUARANTINED,
@@ -359,11 +359,12 @@
         if error.verdict is errors.Verdict.NOT_RUN:
             return False
         quarantine = self.policies.quarantine
+        fingerprint = call.request.fingerprint()
         if not quarantine.observe_crash(
-            self.board.quarantined, call.fingerprint, call.idempotent, self.clock.now()
+            self.board.quarantined, fingerprint, call.idempotent, self.clock.now()
         ):
             return False
-        self.on_quarantine(call.fingerprint, quarantine.duration)
+        self.on_quarantine(fingerprint, quarantine.duration)
         return True
 
     def _final(self, call, error):
--- a/boragegw/entry/_race.py
+++ b/boragegw/entry/_race.py
@@ -8,6 +8,9 @@
 class Race:
     """Runs one attempt and perhaps a second one; the first good answer wins.
 
+    The first attempt runs in the caller's own task and timers stand by: most requests
+    end before any of them, and a task for each would cost more than the request.
+
     :param attempt: async function (backend, reason, fresh) that returns an answer.
     :param hedge: function that returns a backend server for the hedge, or ``None``.
     :param is_responsive: async function: does a new connection to a backend work?
@@ -23,93 +26,85 @@
         self.hedge_delay = hedge_delay
         self.stall = stall
         self.start_task = start_task
-        self._running = {}
-        self._error = None
+        self._hedge_task = None
+        self._limit = None
 
     async def run(self, backend, reason, fresh):
         """Return the winning answer.
 
-        :raises AttemptError: of the last attempt that failed.
+        :raises AttemptError: of the first attempt, if none won.
         """
-        self._spawn(backend, reason, fresh)
+        timers = self._start_timers(backend)
         try:
-            return await self._first_answer(backend)
+            return await self._first_answer(backend, reason, fresh)
         finally:
-            self._end_losers()
+            for timer in timers:
+                timer.cancel()
+            self._end_hedge()
 
-    def _spawn(self, backend, reason, fresh):
+    def _start_timers(self, backend):
         loop = asyncio.get_running_loop()
-        task = loop.create_task(self.attempt(backend, reason, fresh))
-        self._running[task] = backend
-
-    async def _first_answer(self, backend):
-        timers = self._timers(backend)
-        while self._running:
-            delay, action = timers[0] if timers else (None, None)
-            done, _ = await asyncio.wait(
-                self._running, timeout=delay, return_when=asyncio.FIRST_COMPLETED
-            )
-            if not done:
-                timers.pop(0)
-                await action()
-                continue
-            answer = self._take(done)
-            if answer is not None:
-                return answer
-        raise self._error
-
-    def _timers(self, backend):
-        """Return pairs (seconds after the one before, action)."""
-        timers = []
-        passed = 0.0
-        if self.hedge_delay is not None and self.hedge_delay < self.stall:
-            timers.append((self.hedge_delay, self._start_hedge))
-            passed = self.hedge_delay
-        timers.append((self.stall - passed, lambda: self._test(backend)))
+        timers = [loop.call_later(self.stall, self._start_test, backend)]
+        if self.hedge_delay is not None:
+            timers.append(loop.call_later(self.hedge_delay, self._start_hedge))
         return timers
 
-    def _take(self, done):
-        answer = None
-        for task in done:
-            if answer is not None:
-                continue
-            del self._running[task]
-            error = task.exception()
-            if error is None:
-                answer = task.result()
-            elif isinstance(error, backends.AttemptError):
-                self._error = error
-            else:
-                raise error
+    async def _first_answer(self, backend, reason, fresh):
+        try:
+            async with asyncio.timeout(None) as self._limit:
+                return await self.attempt(backend, reason, fresh)
+        except TimeoutError:
+            failure = backends.AttemptError(
+                backends.Failure.SILENT,
+                errors.Verdict.MAY_HAVE_RUN,
+                f"{backend.name}: the connection has gone silent",
+            )
+        except backends.AttemptError as error:
+            failure = error
+        if self._hedge_task is None:
+            raise failure
+        return await self._hedge_answer(failure)
+
+    async def _hedge_answer(self, failure):
+        task = self._hedge_task
+        try:
+            answer = await task
+        except backends.AttemptError:
+            raise failure from None
+        self._hedge_task = None
         return answer
 
-    async def _start_hedge(self):
+    def _give_up_first(self):
+        """End the first attempt, which the hedge or a new connection replaces."""
+        self._limit.reschedule(asyncio.get_running_loop().time())
+
+    def _start_hedge(self):
         backend = self.hedge()
-        if backend is not None:
-            self._spawn(backend, "hedge", False)
+        if backend is None:
+            return
+        loop = asyncio.get_running_loop()
+        self._hedge_task = loop.create_task(self.attempt(backend, "hedge", False))
+        self._hedge_task.add_done_callback(self._hedge_done)
+
+    def _hedge_done(self, task):
+        won = not task.cancelled() and task.exception() is None
+        if won and self._hedge_task is task:
+            self._give_up_first()
+
+    def _start_test(self, backend):
+        self.start_task(self._test(backend), "test connection")
 
     async def _test(self, backend):
         """Send again on a new connection if the old one alone has gone silent."""
-        stalled = [task for task, b in self._running.items() if b is backend]
-        if not stalled or not await self.is_responsive(backend):
-            return
-        for task in stalled:
-            if not task.done():
-                task.cancel()
-                await asyncio.wait([task])
-                self._running.pop(task, None)
-                self._error = backends.AttemptError(
-                    backends.Failure.SILENT,
-                    errors.Verdict.MAY_HAVE_RUN,
-                    f"{backend.name}: the connection has gone silent",
-                )
-
-    def _end_losers(self):
-        for task in self._running:
-            if not task.cancel():
-                self._close_result(task)
-            else:
-                task.add_done_callback(self._close_result)
+        if await self.is_responsive(backend) and self._limit.when() is None:
+            self._give_up_first()
+
+    def _end_hedge(self):
+        task, self._hedge_task = self._hedge_task, None
+        if task is not None and not task.cancel():
+            self._close_result(task)
+        elif task is not None:
+            task.add_done_callback(self._close_result)
 
     def _close_result(self, task):
         """Close the answer of an attempt that lost at the last moment."""
