Replacing entries: told temperatures while starting, warming until no new work; peers send what is new

(2) A leaving entry lost its cold backend servers at once, while callers with a kept answer still came; it now keeps them until it takes no new work, and nobody else warms them meanwhile.

--- a/boragegw/blackboard/__init__.py
+++ b/boragegw/blackboard/__init__.py
@@ -18,11 +18,12 @@
     VirtualMachine,
 )
 from boragegw.blackboard._journal import AttemptNote, Journal, RequestNote
-from boragegw.blackboard._members import Member, MembershipSection, MemberState
+from boragegw.blackboard._members import WORKING, Member, MembershipSection, MemberState
 
 __all__ = [
     "ROLE_BACKEND",
     "ROLE_ENTRY",
+    "WORKING",
     "AttemptNote",
     "BackendState",
     "Blackboard",
--- a/boragegw/blackboard/_members.py
+++ b/boragegw/blackboard/_members.py
@@ -13,6 +13,9 @@
     STOPPED = 3
 
 
+WORKING = (MemberState.SERVING, MemberState.DRAINING)
+
+
 @dataclasses.dataclass(slots=True)
 class Member:
     """One entry process incarnation.
@@ -56,5 +59,9 @@
         return (m for m in self.members.values() if m.heard_at >= oldest)
 
     def serving(self, now):
-        """Yield peers with a recent beat that take new work."""
+        """Yield peers with a recent beat that callers may be sent to."""
         return (m for m in self.alive(now) if m.state is MemberState.SERVING)
+
+    def working(self, now):
+        """Yield peers with a recent beat that may send work to backend servers."""
+        return (m for m in self.alive(now) if m.state in WORKING)
--- a/boragegw/controllers/_configuration.py
+++ b/boragegw/controllers/_configuration.py
@@ -127,9 +127,7 @@
     async def _fetch_changed(self, head):
         """Return the documents of ``head``; those unchanged are not read again."""
         section = self.board.configuration
-        held = {}
-        if section.head:
-            held = _documents.parse_head(section.head).documents
+        held = self._held_hashes()
         documents = {}
         for name, digest in head.documents.items():
             if held.get(name) == digest:
@@ -224,17 +222,52 @@
 
         :raises PeerError: if the peer has none.
         """
-        bundle = await self.network.fetch_configuration(address)
+        bundle = await self.network.fetch_configuration(address, self._known())
         if bundle.head:
-            self.adopt(bundle.head, bundle.documents)
+            self.adopt(bundle.head, self._completed(bundle))
         if bundle.vms:
             self.adopt_vms(bundle.vms)
 
-    def bundle(self):
-        """Return what is in force here, for a peer."""
+    def _held_hashes(self):
         section = self.board.configuration
+        if not section.head:
+            return {}
+        return dict(_documents.parse_head(section.head).documents)
+
+    def _known(self):
+        return peers.KnownConfiguration(
+            self.board.configuration.revision,
+            self.board.fleet.version,
+            frozenset(self._held_hashes().values()),
+        )
+
+    def _completed(self, bundle):
+        """Return a bundle's documents with those that are held here already."""
+        try:
+            wanted = _documents.parse_head(bundle.head).documents
+        except errors.ConfigurationError:
+            return bundle.documents
+        held = {
+            digest: self.board.configuration.documents[name]
+            for name, digest in self._held_hashes().items()
+        }
+        kept = {name: held[h] for name, h in wanted.items() if h in held}
+        return {**kept, **bundle.documents}
+
+    def bundle(self, known):
+        """Return what is in force here and a peer does not know."""
+        section = self.board.configuration
+        head, documents = b"", {}
+        if section.revision > known.revision:
+            head = section.head
+            documents = {
+                name: section.documents[name]
+                for name, digest in self._held_hashes().items()
+                if digest not in known.hashes
+            }
+        newer = self.board.fleet.version > known.version
         return peers.ConfigurationBundle(
-            section.head, dict(section.documents), self.board.fleet.raw
+            head, documents, self.board.fleet.raw if newer else b""
         )
 
     async def bootstrap(self, seeds):
--- a/boragegw/controllers/_gossip.py
+++ b/boragegw/controllers/_gossip.py
@@ -17,6 +17,8 @@
 
     :param network: a :class:`~boragegw.peers.PeerNetwork`.
     :param services: the :class:`ServicesController`.
+
+    ``introduced`` is set once a peer has told temperatures.
     """
 
     def __init__(self, board, clock, random_state, network, services, observer):
@@ -26,6 +28,7 @@
         self.network = network
         self.services = services
         self.observer = observer
+        self.introduced = False
         self._told = {}
         self._indexes = {}
 
@@ -49,20 +52,20 @@
 
     def send_digests(self):
         """Tell the other entries of each service this entry's counts."""
-        live = self.services.live()
+        working = self.services.working()
         own = self.board.identity.incarnation
         for name, service in self.board.services.items():
             if self._is_idle(name, service):
                 continue
             counts = self._counts(name, service)
-            subset = self.services.subset(service, live)
+            subset = self.services.subset(service, working)
             others = [member for member in subset if member.incarnation != own]
             digest = peers.LoadDigest(
                 name, counts, self._some_temperatures(service), service.arrival_rate
             )
             for member in others:
                 self.network.send(member.peer_address, digest)
-        self._tell_somebody(live, own)
+        self._tell_somebody(working, own)
 
     def _is_idle(self, name, service):
         """Return whether there is nothing to tell of a service.
@@ -105,9 +108,9 @@
             backend_hash(backend.name), backend.cold_epoch, warm, reported
         )
 
-    def _tell_somebody(self, live, own):
+    def _tell_somebody(self, working, own):
         """Tell the temperatures of one service to any entry: spares need them too."""
-        others = [member for member in live if member.incarnation != own]
+        others = [member for member in working if member.incarnation != own]
         if not others or not self.board.services:
             return
         member = self.random_state.choice(others)
@@ -154,6 +157,7 @@
             return
         index = self._index(service)
         now = self.clock.now()
+        self.introduced = self.introduced or bool(digest.temperatures)
         if digest.rate or digest.counts:
             service.peer_rates[sender] = (digest.rate, now)
         for count in digest.counts:
--- a/boragegw/controllers/_services.py
+++ b/boragegw/controllers/_services.py
@@ -75,17 +75,21 @@
             self.dispatcher.pump(service)
 
     def live(self):
-        """Return the entries in sight, this one included while it serves."""
+        """Return the entries that callers may use."""
         return self.membership.live_entries(self.board, self.clock.now())
 
-    def subset(self, service, live=None):
+    def working(self):
+        """Return the entries that may send work to backend servers."""
+        return self.membership.working_entries(self.board, self.clock.now())
+
+    def subset(self, service, members=None):
         """Return the entries that serve ``service`` (a ServiceState).
 
         Ranking all entries for each service is the dearest part of the control work
         of a large fleet, so the result is kept until the view changes.
         """
         settings = service.settings
-        members = self.live() if live is None else live
+        members = self.working() if members is None else members
         self._note_view(members)
         kept = self._subsets.get(settings.name)
         if kept is None:
@@ -110,15 +114,15 @@
 
         :param force: also if the entries in sight are the same as last time.
         """
-        live = self.live()
-        view = self._note_view(live)
+        working = self.working()
+        view = self._note_view(working)
         if view == self._warmers_view and not force:
             return
         self._warmers_view = view
         listed = {vm.data_centre for vm in self.board.fleet.entries()}
         own = self.board.identity.name
         for service in self.board.services.values():
-            subset = self.subset(service, live)
+            subset = self.subset(service, working)
             for backend in service.backends.values():
                 warmer = self.subsets.warmer(backend.vm, subset, listed)
                 is_warmer = warmer is not None and warmer.name == own
--- a/boragegw/controllers/tests/test_warmers.py
+++ b/boragegw/controllers/tests/test_warmers.py
@@ -77,6 +77,27 @@
     run_fleet(scenario)
 
 
+def test_leaving_entry_keeps_what_it_warms_until_it_takes_no_new_work():
+    """A download is refused in the seconds in which an entry VM is being replaced.
+
+    It had left the list of entries and lost its cold backend servers at once, while
+    callers with an answer of a second ago still came to it.
+    """
+
+    async def scenario(fleet):
+        name = next(iter(fleet.servers))
+        (first,) = warmers_of(fleet, name)
+        stopping = asyncio.create_task(fleet.stop_gracefully(first))
+        await asyncio.sleep(1.0)
+        assert warmers_of(fleet, name) == [first]
+        assert await stopping
+        await asyncio.sleep(1.0)
+        (second,) = warmers_of(fleet, name)
+        assert second != first
+
+    run_fleet(scenario)
+
+
 def test_warm_state_reaches_entries_outside_the_subset():
     async def scenario(fleet):
         name = next(iter(fleet.servers))
--- a/boragegw/decisions/_membership.py
+++ b/boragegw/decisions/_membership.py
@@ -71,7 +71,25 @@
                 del section.members[incarnation]
 
     def live_entries(self, board, now):
-        """Return the entries callers may use: this one and the peers in sight.
+        """Return the entries callers may use: this one and the peers in sight."""
+        serving = board.membership.serving(now)
+        own = board.lifecycle.state is blackboard.MemberState.SERVING
+        return self._listed(board, serving, own)
+
+    def working_entries(self, board, now):
+        """Return the entries that may send work to backend servers.
+
+        Guards against a gap while an entry leaves: its callers still come for a
+        while, so it must keep the cold backend servers that it warms, and no other
+        entry may warm them meanwhile. It hands them over when it takes no new work.
+        """
+        working = board.membership.working(now)
+        own = board.lifecycle.state in blackboard.WORKING
+        return self._listed(board, working, own)
+
+    @staticmethod
+    def _listed(board, members, own):
+        """Return ``members`` by name, and this entry if ``own``.
 
         The platform's list lags: it can remove an entry (leaving) but its silence
         never adds one; only a recent beat does.
@@ -81,17 +99,17 @@
             for vm in board.fleet.vms.values()
             if vm.role == blackboard.ROLE_ENTRY and vm.leaving
         }
-        serving = [
+        kept = [
             member
-            for member in board.membership.serving(now)
+            for member in members
             if member.name not in leaving and member.name != board.identity.name
         ]
         by_name = {}
-        for member in serving:
+        for member in kept:
             known = by_name.get(member.name)
             if known is None or member.heard_at > known.heard_at:
                 by_name[member.name] = member
         live = list(by_name.values())
-        if board.lifecycle.state is blackboard.MemberState.SERVING:
+        if own:
             live.append(board.identity)
         return live
--- a/boragegw/entry/tests/test_faults.py
+++ b/boragegw/entry/tests/test_faults.py
@@ -315,6 +315,25 @@
     assert statuses[200] >= 100
 
 
+def test_fresh_entry_knows_what_is_warm_before_it_serves():
+    """Each replacement of an entry VM costs its first callers a refusal.
+
+    Unknown counts as cold. The peers told it the temperatures when they first heard of
+    it, but it was still reading its configuration and knew none of the services.
+    """
+
+    async def scenario(fleet):
+        statuses = collections.Counter()
+        fleet.state.delay = 0.5
+        for index in range(3):
+            await fleet.stop_gracefully(index)
+            await fleet.make_entry(index).start()
+            statuses += await many(get(fleet, f"/{index}-{i}", index) for i in range(6))
+        return statuses
+
+    assert run_fleet(scenario) == {200: 18}
+
+
 def test_entry_that_leaves_disappears_from_the_answers_at_once():
     async def scenario(fleet):
         index, _ = serving(fleet)
--- a/boragegw/peers/__init__.py
+++ b/boragegw/peers/__init__.py
@@ -1,7 +1,12 @@
 """What the entry processes tell each other."""
 
 from boragegw.peers._authenticity import ReplayWindow, RequestSigner
-from boragegw.peers._base import ConfigurationBundle, PeerError, PeerNetwork
+from boragegw.peers._base import (
+    ConfigurationBundle,
+    KnownConfiguration,
+    PeerError,
+    PeerNetwork,
+)
 from boragegw.peers._codec import DATAGRAM_LIMIT, DatagramCodec, MalformedDatagramError
 from boragegw.peers._http import HttpPeerNetwork
 from boragegw.peers._messages import (
@@ -23,6 +28,7 @@
     "DatagramCodec",
     "Heartbeat",
     "HttpPeerNetwork",
+    "KnownConfiguration",
     "LoadDigest",
     "MalformedDatagramError",
     "PeerError",
--- a/boragegw/peers/_base.py
+++ b/boragegw/peers/_base.py
@@ -17,9 +17,23 @@
         self.sent = sent
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownConfiguration:
+    """What a learner has, so that a peer sends only what is new.
+
+    :param revision: configuration revision in force.
+    :param version: version of the list of VMs.
+    :param hashes: SHA-256 of the documents held, as hexadecimal text.
+    """
+
+    revision: int = 0
+    version: int = 0
+    hashes: frozenset = frozenset()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationBundle:
-    """Raw documents of one configuration revision, and the raw list of VMs."""
+    """What a peer has that a learner has not; what is not newer is empty."""
 
     head: bytes
     documents: dict
@@ -42,9 +56,10 @@
         """
 
     @abc.abstractmethod
-    async def fetch_configuration(self, address):
+    async def fetch_configuration(self, address, known):
         """Return a peer's :class:`ConfigurationBundle`.
 
+        :param known: a :class:`KnownConfiguration`.
         :raises PeerError: if there is none.
         """
 
--- a/boragegw/peers/_http.py
+++ b/boragegw/peers/_http.py
@@ -148,10 +148,11 @@
             )
         return response.content
 
-    async def fetch_configuration(self, address):
+    async def fetch_configuration(self, address, known):
         """Return a peer's configuration bundle."""
+        content = _tables.encode_known(known)
         return _tables.decode_bundle(
-            await self._bulk("GET", address, CONFIGURATION_PATH)
+            await self._bulk("POST", address, CONFIGURATION_PATH, content)
         )
 
     async def hand_over(self, address, sealed):
--- a/boragegw/peers/_tables.py
+++ b/boragegw/peers/_tables.py
@@ -80,6 +80,32 @@
         raise _base.PeerError(f"damaged table: {error}") from error
 
 
+def encode_known(known):
+    """Return the bytes of a :class:`KnownConfiguration`."""
+    content = {
+        "revision": known.revision,
+        "version": known.version,
+        "hashes": sorted(known.hashes),
+    }
+    return json.dumps(content).encode()
+
+
+def decode_known(raw):
+    """Return the :class:`KnownConfiguration` in ``raw``.
+
+    :raises PeerError: if it is damaged.
+    """
+    try:
+        content = json.loads(raw)
+        return _base.KnownConfiguration(
+            int(content["revision"]),
+            int(content["version"]),
+            frozenset(content["hashes"]),
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        raise _base.PeerError(f"damaged request: {error}") from error
+
+
 def encode_bundle(bundle):
     """Return the bytes of a configuration bundle."""
     content = {
--- a/boragegw/server/_node.py
+++ b/boragegw/server/_node.py
@@ -21,6 +21,7 @@
 
 SUCCESSORS = 2
 DRAIN_POLL = 0.05
+PATIENCE = 1.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -213,10 +214,19 @@
     def _connect_events(self):
         self.observer.on_temperature = self.gossip.temperature_changed
         self.executor.on_quarantine = self.gossip.quarantined
-        self.membership.on_heartbeat = self.configuration.heard
+        self.membership.on_heartbeat = self._heard
         self.membership.on_newcomer = self._welcome
         self.configuration.on_change = self._configuration_changed
 
+    def _heard(self, member):
+        """Compare configurations; tell the temperatures to whoever is starting.
+
+        Told once is not enough: a starting process may not know its services yet.
+        """
+        self.configuration.heard(member)
+        if member.state is blackboard.MemberState.STARTING:
+            self.gossip.introduce(member)
+
     def _welcome(self, member):
         self.gossip.introduce(member)
         self.services.refresh_warmers()
@@ -240,6 +250,7 @@
         self.loops.start(self.configuration.watch_vms(), "list of VMs")
         while not self.configuration.ready:
             await self.sleep(DRAIN_POLL)
+        await self._hear_peers()
         self.board.lifecycle.state = blackboard.MemberState.SERVING
         self.services.refresh()
         self.membership.send_heartbeats()
@@ -249,6 +260,22 @@
         self.loops.start(self._every("refresh_interval", self._refresh), "refresh")
         logger.info("serving", extra={"incarnation": self.board.identity.incarnation})
 
+    async def _hear_peers(self):
+        """Wait until a peer has told its temperatures, if there is one that can.
+
+        Guards against refusals by a fresh process: unknown counts as cold, so it would
+        find no backend server for most requests. Alone it goes on after a while.
+        """
+        self.services.refresh()
+        own = self.board.identity.name
+        if all(vm.name == own for vm in self.board.fleet.entries()):
+            return
+        end = self.clock.now() + PATIENCE
+        while not self.gossip.introduced and self.clock.now() < end:
+            self.membership.send_heartbeats()
+            await self.sleep(DRAIN_POLL)
+        await self.sleep(DRAIN_POLL)
+
     async def _every(self, interval_name, step):
         """Run ``step`` for ever, with a jitter that keeps processes out of step."""
         interval = getattr(self.parameters, interval_name)
--- a/boragegw/server/_peer_application.py
+++ b/boragegw/server/_peer_application.py
@@ -11,6 +11,7 @@
 logger = logging.getLogger(__name__)
 
 SEALED_LIMIT = 256 << 20
+KNOWN_LIMIT = 4 << 20
 
 
 class PeerApplication:
@@ -42,14 +43,18 @@
         path = scope["raw_path"].decode("latin1")
         routes = {
             ("POST", _http.FORWARD_PATH): self._forward,
-            ("GET", _http.CONFIGURATION_PATH): self._configuration,
+            ("POST", _http.CONFIGURATION_PATH): self._configuration,
             ("POST", _http.SEALED_PATH): self._sealed,
         }
         handler = routes.get((scope["method"], path))
         if handler is None:
             await _reply(send, 404)
             return
-        await handler(scope, receive, send)
+        try:
+            await handler(scope, receive, send)
+        except peers.PeerError as error:
+            logger.warning("request of a peer refused: %s", error)
+            await _reply(send, 400)
 
     def _is_signed(self, scope, *parts):
         value = messages.find(scope["headers"], _http.SIGNATURE, b"")
@@ -93,29 +98,30 @@
         await _send_answer(send, answer)
 
     async def _configuration(self, scope, receive, send):
-        if not self._is_signed(scope, b"GET", _http.CONFIGURATION_PATH.encode(), b""):
-            await _reply(send, 403)
-            return
-        bundle = self.node.configuration.bundle()
-        await _reply(send, 200, _tables.encode_bundle(bundle))
+        raw = await self._signed_body(scope, receive, send, KNOWN_LIMIT)
+        if raw is not None:
+            bundle = self.node.configuration.bundle(_tables.decode_known(raw))
+            await _reply(send, 200, _tables.encode_bundle(bundle))
 
     async def _sealed(self, scope, receive, send):
+        raw = await self._signed_body(scope, receive, send, SEALED_LIMIT)
+        if raw is not None:
+            self.node.take_sealed(peers.decode_sealed(raw))
+            await _reply(send, 200)
+
+    async def _signed_body(self, scope, receive, send, limit):
+        """Return the body if it is signed, or ``None`` after a refusal was sent."""
         content = bytearray()
         async for chunk in _chunks(receive):
             content += chunk
-            if len(content) > SEALED_LIMIT:
+            if len(content) > limit:
                 await _reply(send, 413)
-                return
+                return None
         raw = bytes(content)
-        if not self._is_signed(scope, b"POST", _http.SEALED_PATH.encode(), raw):
+        if not self._is_signed(scope, b"POST", scope["raw_path"], raw):
             await _reply(send, 403)
-            return
-        try:
-            self.node.take_sealed(peers.decode_sealed(raw))
-        except peers.PeerError:
-            await _reply(send, 400)
-            return
-        await _reply(send, 200)
+            return None
+        return raw
 
 
 async def _chunks(receive):
--- a/boragegw/standins/_virtual_network.py
+++ b/boragegw/standins/_virtual_network.py
@@ -152,13 +152,13 @@
     def _delay_to(self, node):
         return self.world.delay(self.data_centre, node.board.identity.data_centre)
 
-    async def fetch_configuration(self, address):
+    async def fetch_configuration(self, address, known):
         """Return a peer's bundle."""
         node = self._peer(address)
         await asyncio.sleep(0.002)
         if node is None or address in self.world.paused:
             raise peers.PeerError(f"{address}: unreachable")
-        return node.configuration.bundle()
+        return node.configuration.bundle(known)
 
     async def hand_over(self, address, sealed):
         """Give a sealed table to a peer, through its encoded form."""
