--- a/boragegw/blackboard/_backends.py
+++ b/boragegw/blackboard/_backends.py
@@ -110,8 +110,7 @@
     :param in_flight: this entry's requests in flight on all of them.
     :param waiting: requests that wait for a backend server, in order of arrival.
     :param finished: own requests finished (for rates).
-    :param arrivals: requests that arrived since the last tick.
-    :param peer_rates: pairs (requests a second, heard at) by entry incarnation.
+    :param arrivals: times of recent arrivals, for the request rate.
     """
 
     settings: object
@@ -133,14 +132,3 @@
     )
     finish_rate: float = 0.0
     finished: int = 0
-    arrivals: int = 0
-    arrival_rate: float = 0.0
-    peer_rates: dict = dataclasses.field(default_factory=dict)
-
-    def rates(self, now, horizon=2.0):
-        """Return the requests a second of other entries heard of lately."""
-        return {
-            incarnation: rate
-            for incarnation, (rate, heard_at) in self.peer_rates.items()
-            if now - heard_at <= horizon
-        }
--- a/boragegw/controllers/_dispatcher.py
+++ b/boragegw/controllers/_dispatcher.py
@@ -38,7 +38,6 @@
         :param excluded: names of backend servers tried before.
         :raises RequestError: with the verdict not-run.
         """
-        service.arrivals += 1
         if not service.waiting:
             backend = self.try_acquire(service, excluded)
             if backend is not None:
@@ -173,9 +172,6 @@
             weight = min(1.0, elapsed)
             service.finish_rate += weight * (rate - service.finish_rate)
             service.finished = 0
-            rate = service.arrivals / elapsed
-            service.arrival_rate += weight * (rate - service.arrival_rate)
-            service.arrivals = 0
             if service.waiting:
                 self._expire(service)
                 self.pump(service)
--- a/boragegw/controllers/_gossip.py
+++ b/boragegw/controllers/_gossip.py
@@ -60,9 +60,7 @@
             counts = self._counts(name, service)
             subset = self.services.subset(service, working)
             others = [member for member in subset if member.incarnation != own]
-            digest = peers.LoadDigest(
-                name, counts, self._some_temperatures(service), service.arrival_rate
-            )
+            digest = peers.LoadDigest(name, counts, self._some_temperatures(service))
             for member in others:
                 self.network.send(member.peer_address, digest)
         self._tell_somebody(working, own)
@@ -158,8 +156,6 @@
         index = self._index(service)
         now = self.clock.now()
         self.introduced = self.introduced or bool(digest.temperatures)
-        if digest.rate or digest.counts:
-            service.peer_rates[sender] = (digest.rate, now)
         for count in digest.counts:
             backend = service.backends.get(index.get(count.backend))
             if backend is None:
@@ -179,9 +175,6 @@
         """Drop the counts of peers that have not been heard for ``horizon``."""
         oldest = self.clock.now() - horizon
         for service in self.board.services.values():
-            for sender, (_, heard_at) in list(service.peer_rates.items()):
-                if heard_at < oldest:
-                    del service.peer_rates[sender]
             for backend in service.backends.values():
                 for sender, peer in list(backend.peers.items()):
                     if peer.received_at < oldest:
--- a/boragegw/decisions/_subset.py
+++ b/boragegw/decisions/_subset.py
@@ -35,28 +35,18 @@
             chosen.add(member.name)
         return [member for member in ranked if member.name in chosen]
 
-    def for_caller(
-        self, service, members, size, caller, rates, random_state, data_centre=""
-    ):
+    def for_caller(self, service, members, size, caller, data_centre=""):
         """Return entries in the order in which ``caller`` should try them.
 
-        The first is the less busy of two drawn from the subset; the others follow by
-        the caller's own hash. A caller that names its data centre gets the entries
-        there first. Each entry sends about as much work to the backend servers as the
-        others may, so callers must be spread by their requests, not by their number.
+        Callers are spread over the subset by their own hash; a caller that names its
+        data centre gets the entries there first.
 
         :param caller: any stable text that tells callers apart.
-        :param rates: requests a second of the service by entry incarnation.
-        :param random_state: a ``random.Random``.
         """
         subset = self.subset(service, members, size)
         ordered = utils.rank(
             f"{service}/{caller}", subset, identity=lambda member: member.name
         )
-        if len(ordered) > 1:
-            pair = random_state.sample(ordered, 2)
-            first = min(pair, key=lambda member: rates.get(member.incarnation, 0.0))
-            ordered.sort(key=lambda member: member is not first)
         ordered.sort(key=lambda member: member.data_centre != data_centre)
         names = {member.name for member in subset}
         rest = utils.rank(
--- a/boragegw/entry/_entries.py
+++ b/boragegw/entry/_entries.py
@@ -32,18 +32,10 @@
     """
 
     def __init__(
-        self,
-        board,
-        clock,
-        random_state,
-        services,
-        leases,
-        lease_duration=600.0,
-        keep_for=2.0,
+        self, board, clock, services, leases, lease_duration=600.0, keep_for=2.0
     ):
         self.board = board
         self.clock = clock
-        self.random_state = random_state
         self.services = services
         self.leases = leases
         self.lease_duration = lease_duration
@@ -61,16 +53,8 @@
                 errors.Code.UNKNOWN_SERVICE, f"no service {service_name!r}"
             )
         live = self.services.live()
-        rates = service.rates(self.clock.now())
-        rates[self.board.identity.incarnation] = service.arrival_rate
         members = self.services.subsets.for_caller(
-            service_name,
-            live,
-            service.settings.subset_size,
-            caller,
-            rates,
-            self.random_state,
-            data_centre,
+            service_name, live, service.settings.subset_size, caller, data_centre
         )
         if not members:
             raise errors.RequestError.not_run(
--- a/boragegw/peers/_codec.py
+++ b/boragegw/peers/_codec.py
@@ -82,7 +82,6 @@
 def _write_load_digest(root, message):
     digest = root.init("loadDigest")
     digest.service = message.service
-    digest.rate = message.rate
     counts = digest.init("counts", len(message.counts))
     for builder, count in zip(counts, message.counts, strict=True):
         builder.backend = count.backend
@@ -103,7 +102,7 @@
         _messages.Temperature(row.backend, row.epoch, row.warm, row.draining)
         for row in reader.temperatures
     ]
-    return _messages.LoadDigest(reader.service, counts, temperatures, reader.rate)
+    return _messages.LoadDigest(reader.service, counts, temperatures)
 
 
 def _write_quarantine(root, message):
--- a/boragegw/peers/_messages.py
+++ b/boragegw/peers/_messages.py
@@ -51,15 +51,11 @@
 
 @dataclasses.dataclass(slots=True)
 class LoadDigest:
-    """What the sender knows of one service's backend servers.
-
-    :param rate: requests a second that the sender gets for the service.
-    """
+    """What the sender knows of one service's backend servers."""
 
     service: str
     counts: list
     temperatures: list
-    rate: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/boragegw/peers/messages.capnp
+++ b/boragegw/peers/messages.capnp
@@ -44,7 +44,6 @@
   service @0 :Text;
   counts @1 :List(BackendCount);
   temperatures @2 :List(Temperature);
-  rate @3 :Float32;
 }
 
 struct Quarantine {
--- a/boragegw/server/_node.py
+++ b/boragegw/server/_node.py
@@ -204,7 +204,6 @@
         self.directory = entry.EntryDirectory(
             self.board,
             self.clock,
-            self.random_state,
             self.services,
             self.leases,
             parameters.lease_duration,
