--- a/boragegw/cli/_status.py
+++ b/boragegw/cli/_status.py
@@ -2,6 +2,7 @@
 
 import json
 
+from boragegw import operations
 from boragegw.cli import _operator
 
 
@@ -45,33 +46,11 @@
     keys = ("name", "data_centre", "state", "revision", "confirmed_age", "silence")
     yield from _table(head, [[row[k] for k in keys] for row in status["entries"]])
     yield ""
-    head = (
-        "service",
-        "backend servers",
-        "cold",
-        "leaving",
-        "recalled",
-        "ejected",
-        "in flight",
-        "waiting",
-        "latency ms",
-        "retries",
-        "hedges",
-        "probes",
-    )
     yield from _table(
-        head,
+        (*operations.SERVICE_COLUMNS, "retries", "hedges", "probes"),
         [
             (
-                name,
-                row["backends"],
-                len(row["cold"]),
-                len(row["leaving"]),
-                len(row["recalled"]),
-                len(row["ejected"]),
-                row["in_flight"],
-                row["waiting"],
-                row["latency_ms"],
+                *operations.service_cells(name, row),
                 row["retry_budget"]["spent"],
                 row["hedge_budget"]["spent"],
                 row["probe_budget"]["spent"],
--- a/boragegw/operations/__init__.py
+++ b/boragegw/operations/__init__.py
@@ -3,11 +3,17 @@
 from boragegw.operations._application import OperatorApplication
 from boragegw.operations._logs import JsonLinesFormatter, configure_logging
 from boragegw.operations._metrics import METRICS, MetricsReporter
-from boragegw.operations._status import explain_request, status_of
+from boragegw.operations._status import (
+    SERVICE_COLUMNS,
+    explain_request,
+    service_cells,
+    status_of,
+)
 from boragegw.operations._traces import OpenTelemetryTracer, make_tracer
 
 __all__ = [
     "METRICS",
+    "SERVICE_COLUMNS",
     "JsonLinesFormatter",
     "MetricsReporter",
     "OpenTelemetryTracer",
@@ -15,5 +21,6 @@
     "configure_logging",
     "explain_request",
     "make_tracer",
+    "service_cells",
     "status_of",
 ]
--- a/boragegw/operations/_application.py
+++ b/boragegw/operations/_application.py
@@ -14,8 +14,7 @@
 <h1>{name}</h1><p>revision {revision}, VM list {version}, {in_flight} in flight</p>
 <h2>Entries</h2><table><tr><th>name<th>data centre<th>state<th>revision
 <th>confirmed s ago<th>silent s</tr>{entries}</table>
-<h2>Services</h2><table><tr><th>service<th>backend servers<th>cold<th>leaving
-<th>recalled<th>ejected<th>in flight<th>waiting<th>latency ms</tr>{services}</table>
+<h2>Services</h2><table><tr>{columns}</tr>{services}</table>
 <h2>Recalls</h2><pre>{recalls}</pre>"""
 
 
@@ -36,17 +35,7 @@
         for row in status["entries"]
     )
     services = "".join(
-        _cells(
-            name,
-            row["backends"],
-            len(row["cold"]),
-            len(row["leaving"]),
-            len(row["recalled"]),
-            len(row["ejected"]),
-            row["in_flight"],
-            row["waiting"],
-            row["latency_ms"],
-        )
+        _cells(*_status.service_cells(name, row))
         for name, row in status["services"].items()
     )
     return PAGE.format(
@@ -55,6 +44,7 @@
         version=status["vm_list_version"],
         in_flight=status["in_flight"],
         entries=entries,
+        columns="".join(f"<th>{title}" for title in _status.SERVICE_COLUMNS),
         services=services,
         recalls=html.escape(json.dumps(status["recalls"], indent=1)),
     )
--- a/boragegw/operations/_status.py
+++ b/boragegw/operations/_status.py
@@ -4,6 +4,33 @@
 
 from boragegw import blackboard
 
+SERVICE_COLUMNS = (
+    "service",
+    "backend servers",
+    "cold",
+    "leaving",
+    "recalled",
+    "ejected",
+    "in flight",
+    "waiting",
+    "latency ms",
+)
+
+
+def service_cells(name, row):
+    """Return a service's cells for :data:`SERVICE_COLUMNS`."""
+    return (
+        name,
+        row["backends"],
+        len(row["cold"]),
+        len(row["leaving"]),
+        len(row["recalled"]),
+        len(row["ejected"]),
+        row["in_flight"],
+        row["waiting"],
+        row["latency_ms"],
+    )
+
 
 def _member_row(member, now):
     return {
--- a/boragegw/standins/__init__.py
+++ b/boragegw/standins/__init__.py
@@ -5,18 +5,14 @@
 from boragegw.standins._fleet import LocalFleet
 from boragegw.standins._history import AnswerEvent, violations
 from boragegw.standins._platform import PublishedState, StandinPlatform
-from boragegw.standins._virtual_backend import (
-    RunEvent,
-    VirtualBackend,
-    VirtualFaults,
-    VirtualTransport,
-)
+from boragegw.standins._virtual_backend import RunEvent, VirtualBackend, VirtualFaults
 from boragegw.standins._virtual_fleet import ServiceShape, VirtualFleet
 from boragegw.standins._virtual_network import (
     VirtualNetwork,
     VirtualPlatform,
     VirtualWorld,
 )
+from boragegw.standins._virtual_transport import VirtualTransport
 
 __all__ = [
     "AnswerEvent",
--- a/boragegw/standins/_backend.py
+++ b/boragegw/standins/_backend.py
@@ -7,10 +7,11 @@
 
 from boragegw import backends
 from boragegw.server import _listener
+from boragegw.standins import _faults
 
 
 @dataclasses.dataclass(slots=True)
-class BackendFaults:
+class BackendFaults(_faults.CountedFaults):
     """Faults that tests and benchmarks switch on.
 
     :param service_time: seconds that a request takes in a slot.
@@ -37,14 +38,6 @@
     silent: int = 0
     poison: str = ""
 
-    def spend(self, name):
-        """Return whether a counted fault strikes now, and count it down."""
-        left = getattr(self, name)
-        if left <= 0:
-            return False
-        setattr(self, name, left - 1)
-        return True
-
 
 class StandinBackend:
     """A backend server over HTTP.
--- a/boragegw/standins/_virtual_fleet.py
+++ b/boragegw/standins/_virtual_fleet.py
@@ -5,7 +5,12 @@
 import random
 
 from boragegw import blackboard, configuration, messages, server, utils
-from boragegw.standins import _platform, _virtual_backend, _virtual_network
+from boragegw.standins import (
+    _platform,
+    _virtual_backend,
+    _virtual_network,
+    _virtual_transport,
+)
 
 DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
 SECRET = b"virtual-fleet-secret"
@@ -175,7 +180,7 @@
         def reachable(vm):
             return not self.world.is_cut(place, (vm.address, vm.data_centre))
 
-        return _virtual_backend.VirtualTransport(
+        return _virtual_transport.VirtualTransport(
             self.servers,
             lambda vm: self.world.delay(data_centre, vm.data_centre),
             reachable,
