--- /dev/null
+++ b/boragegw/decisions/tests/test_examples.py
@@ -0,0 +1,23 @@
+import pathlib
+import runpy
+
+import pytest
+
+EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
+EXPECTED = {
+    "placement.py": ["chooses claims-0"],
+    "at_most_once.py": [
+        "first copy: run",
+        "while it runs: join",
+        "afterwards: replay",
+        "lease-expired, not-run",
+    ],
+}
+
+
+@pytest.mark.parametrize("name", sorted(EXPECTED))
+def test_example_shows_what_it_says(name, capsys):
+    runpy.run_path(str(EXAMPLES / name))
+    shown = capsys.readouterr().out
+    for words in EXPECTED[name]:
+        assert words in shown
--- /dev/null
+++ b/examples/placement.py
@@ -0,0 +1,18 @@
+"""Which of three backend servers an entry in dc-a chooses, and why."""
+
+import random
+
+from boragegw import blackboard, decisions
+
+policy = decisions.LocalFirst(data_centre="dc-a")
+backends = [
+    blackboard.BackendState(
+        blackboard.VirtualMachine(
+            f"claims-{i}", "backend", "10.0.0.1:80", place, slots=2
+        ),
+        own_in_flight=own,
+    )
+    for i, (place, own) in enumerate([("dc-a", 1), ("dc-a", 2), ("dc-b", 0)])
+]
+chosen = policy.choose(backends, now=0.0, random_state=random.Random(1))
+print(f"{policy!r} chooses {chosen.name}: in the own data centre and not full")
