--- a/examples/at_most_once.py
+++ b/examples/at_most_once.py
@@ -1,4 +1,4 @@
-"""A key's life at its home: it runs, a resend gets the stored answer, a late one too."""
+"""A key at its home: it runs, a resend gets the stored answer, a late one too."""
 
 from boragegw import decisions
 
