--- a/boragegw/entry/tests/test_caller_contract.py
+++ b/boragegw/entry/tests/test_caller_contract.py
@@ -8,6 +8,7 @@
 import pytest
 
 from boragegw import server, standins
+from boragegw.entry import _application
 
 SERVICES = [
     {
@@ -334,6 +335,30 @@
     with_fleet(tmp_path, scenario)
 
 
+def test_caller_that_does_not_read_loses_its_answer(tmp_path, monkeypatch):
+    """Callers that stop reading hold every place of the archive service for ever.
+
+    The answer stops when all buffers on the way are full; the place is held until it
+    ends, which it never does.
+    """
+    monkeypatch.setattr(_application, "SEND_TIMEOUT", 0.3)
+
+    async def scenario(fleet):
+        for backend in fleet.backends.values():
+            backend.downloads["/archive"] = bytes(64 << 20)
+            backend.faults.service_time = 0.0
+        process = fleet.entries["entry-1"]
+        host, _, port = process.caller_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port), limit=1024)
+        writer.write(b"GET /v1/services/filing/archive HTTP/1.1\r\nhost: a\r\n\r\n")
+        board = process.node.board
+        await fleet.wait_for(lambda: board.counters["requests.slow_caller"] == 1)
+        await fleet.wait_for(lambda: board.services["filing"].in_flight == 0)
+        writer.transport.abort()
+
+    with_fleet(tmp_path, scenario)
+
+
 def test_idempotent_upload_is_streamed(tmp_path):
     async def scenario(fleet):
         async def parts():
