--- a/boragegw/server/_node.py
+++ b/boragegw/server/_node.py
@@ -91,9 +91,9 @@
         self.network = network
         self.tracer = tracer
         self.sleep = sleep
-        self.tasks = utils.TaskGroupSet()
-        self.loops = utils.TaskGroupSet()
-        self.executions = utils.TaskGroupSet()
+        self.tasks = utils.TaskSet()
+        self.loops = utils.TaskSet()
+        self.executions = utils.TaskSet()
         self.board = blackboard.Blackboard(identity)
         self.board.membership.silence = self.parameters.silence
         self._build_controllers(configuration_source, fleet_source)
--- a/boragegw/server/_process.py
+++ b/boragegw/server/_process.py
@@ -54,7 +54,7 @@
         self.parameters = parameters or parameters_of(settings)
         self.node = None
         self._listeners = []
-        self._tasks = utils.TaskGroupSet()
+        self._tasks = utils.TaskSet()
         self._bind()
 
     def _bind(self):
--- a/boragegw/utils/_tasks.py
+++ b/boragegw/utils/_tasks.py
@@ -6,7 +6,7 @@
 logger = logging.getLogger(__name__)
 
 
-class TaskGroupSet:
+class TaskSet:
     """Tasks of one owner."""
 
     def __init__(self):
