Quarantine of streamed uploads: one fingerprint before and after the sending

It is now taken before the sending where the body is streamed, and still only when needed where it is held whole. The new test fails without it and passes with it. Besides: both benchmarks write their JSON lines by one function.

--- a/benchmarks/aims.py
+++ b/benchmarks/aims.py
@@ -5,7 +5,6 @@
 """
 
 import argparse
-import json
 import sys
 
 import numpy
@@ -264,9 +263,7 @@
             f"| {row['measure']} | {row['service']} | {row['aim']} | "
             f"{row['median']:.3g} | {row['low']:.3g} to {row['high']:.3g} | {met} |"
         )
-    if options.json:
-        with open(options.json, "w", encoding="utf-8") as file:
-            file.writelines(json.dumps(row) + "\n" for row in rows)
+    compare.write_json_lines(options.json, rows)
     return 0
 
 
--- a/benchmarks/compare.py
+++ b/benchmarks/compare.py
@@ -106,6 +106,13 @@
         print(f"{name:<28}{text}")
 
 
+def write_json_lines(path, rows):
+    """Write rows as JSON lines; do nothing without a path."""
+    if path:
+        with open(path, "w", encoding="utf-8") as file:
+            file.writelines(json.dumps(row) + "\n" for row in rows)
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--short", action="store_true")
@@ -134,9 +141,7 @@
     reference = options.reference if options.reference in names else names[0]
     for column in ("p99", "p99_non_idempotent"):
         ratio_table(rows, names, reference, column)
-    if options.json:
-        with open(options.json, "w", encoding="utf-8") as file:
-            file.writelines(json.dumps(row) + "\n" for row in rows)
+    write_json_lines(options.json, rows)
     return 0
 
 
--- a/boragegw/entry/_executor.py
+++ b/boragegw/entry/_executor.py
@@ -26,6 +26,8 @@
 class _Call:
     """The progress of one request.
 
+    :param fingerprint: taken before the sending of a body that is streamed, whose
+        digest goes on growing; empty for a body held whole, whose does not.
     :param made: attempts made.
     :param excluded: names of backend servers tried.
     :param verdict: the most that may have happened in all attempts so far.
@@ -37,10 +39,15 @@
     harm: int
     note: blackboard.RequestNote
     headers: list
+    fingerprint: bytes = b""
     made: int = 0
     excluded: frozenset = frozenset()
     verdict: errors.Verdict = errors.Verdict.NOT_RUN
 
+    def known_fingerprint(self):
+        """Return the request's fingerprint, the same before and after its sending."""
+        return self.fingerprint or self.request.fingerprint()
+
 
 class Executor:
     """Carries requests to backend servers.
@@ -102,6 +109,7 @@
             harm=service.settings.harm(request.method, request.path),
             note=note,
             headers=headers,
+            fingerprint=b"" if request.body.complete else request.fingerprint(),
         )
 
     def _refuse_quarantined(self, call):
@@ -109,7 +117,7 @@
         quarantined = self.board.quarantined
         if not quarantined:
             return
-        fingerprint = call.request.fingerprint()
+        fingerprint = call.known_fingerprint()
         if quarantine.covers(quarantined, fingerprint, self.clock.now()):
             self.board.counters["requests.quarantined"] += 1
             raise errors.RequestError.not_run(
@@ -359,7 +367,7 @@
         if error.verdict is errors.Verdict.NOT_RUN:
             return False
         quarantine = self.policies.quarantine
-        fingerprint = call.request.fingerprint()
+        fingerprint = call.known_fingerprint()
         if not quarantine.observe_crash(
             self.board.quarantined, fingerprint, call.idempotent, self.clock.now()
         ):
--- a/boragegw/entry/tests/test_faults.py
+++ b/boragegw/entry/tests/test_faults.py
@@ -100,6 +100,35 @@
     assert healthy == 200
 
 
+def test_fingerprint_of_a_streamed_body_stays_the_same_while_it_is_sent():
+    """A large upload that crashes its servers is never quarantined.
+
+    The quarantine was noted under the digest of all bytes sent so far, and looked up
+    under that of the first part, which is all there is before the sending.
+    """
+
+    async def parts():
+        for number in range(20):
+            yield bytes([number]) * 10_000
+
+    async def scenario(fleet):
+        node = fleet.entries[0]
+        body = messages.Body(parts())
+        await body.prefetch()
+        request = messages.Request("id", "filing", "PUT", "/x", [], body, 9e9)
+        note = blackboard.RequestNote("id", "filing", "PUT", "/x", True, 0.0)
+        service = node.board.services["filing"]
+        call = node.executor._call(request, service, True, note)
+        before = call.known_fingerprint()
+        async for _ in body.chunks():
+            pass
+        return before, call.known_fingerprint(), request.fingerprint()
+
+    before, after, of_all = run_fleet(scenario)
+    assert before == after
+    assert before != of_all
+
+
 def test_silent_connections_are_found_and_the_request_sent_again():
     """Status pages hang until their deadline although all servers are well.
 
