Stand-ins of the platform's store and backend servers, the whole path tested in memory

Found and mended by them: a request with two Host headers was routed by the first (now 400); a connection that ended with its health answer was used for the request and the failure counted as may-have-run (now the place is taken anew, nothing was written).

--- a/boragegw/gateway/_asker.py
+++ b/boragegw/gateway/_asker.py
@@ -214,8 +214,22 @@
             pool.discard(connection)
             raise
         answer.take()
+        if not connection.reusable:
+            # Backend servers end connections now and then with an answer.
+            connection = await self._replace(service, server, connection)
+            if connection is None:
+                return None
         return self._judge(server, connection, answer)
 
+    async def _replace(self, service, server, ended):
+        pool = self.pool(server)
+        pool.discard(ended)
+        try:
+            return await pool.acquire(self.connection_limit(service))
+        except _upstream.ExchangeError:
+            server.unreachable_until = self.now() + UNREACHABLE_PAUSE
+            return None
+
     def _judge(self, server, connection, answer):
         now = self.now()
         health = self.dialect.read_health(answer, now)
--- a/boragegw/gateway/_carrier.py
+++ b/boragegw/gateway/_carrier.py
@@ -14,6 +14,8 @@
 DEADLINE_MARGIN = 0.015
 #: Seconds that must be left for a send to make sense.
 LEAST_TIME = 0.02
+#: Times that a request is placed anew because its place was lost before the send.
+PLACINGS = 3
 #: Share of the repeat budget that hedges leave to repeats after failures.
 HEDGE_RESERVE = 0.35
 #: Seconds after which a refused caller may come back, if it can still be served in
@@ -253,16 +255,22 @@
 
     async def _send_once(self, call, hedge=False):
         """Place the request and send it; return an :class:`Outcome`."""
-        place = await self.asker.place(call.service, call.tried, call.give_up_at)
-        if place is None:
-            return Outcome(Verdict.NOT_RUN, placed=False, reason="no server found")
-        server = place.server
-        pool = self.asker.pool(server)
-        now = self.now()
-        unfit = self._unfit(call, place, now, hedge)
-        if unfit:
+        for _ in range(PLACINGS):
+            place = await self.asker.place(call.service, call.tried, call.give_up_at)
+            if place is None:
+                return Outcome(Verdict.NOT_RUN, placed=False, reason="no server found")
+            server = place.server
+            pool = self.asker.pool(server)
+            now = self.now()
+            refusal = self._refusal(call, place, now, hedge)
+            if refusal:
+                pool.release(place.connection)
+                return Outcome(Verdict.NOT_RUN, placed=False, reason=refusal)
+            if self._still_fits(call, place):
+                break
             pool.release(place.connection)
-            return Outcome(Verdict.NOT_RUN, placed=False, reason=unfit)
+        else:
+            return Outcome(Verdict.NOT_RUN, placed=False, reason="places were lost")
         call.tried.add(server.identity)
         call.sends += 1
         self.board.counters["sends"] += 1
@@ -278,19 +286,25 @@
             pool.release(place.connection)
         return outcome
 
-    def _unfit(self, call, place, now, hedge):
-        """Return why the request is not sent after all, or "".
+    def _still_fits(self, call, place):
+        """Return whether the place is still one, right before the send.
 
-        The check stands right before the send: while servers were asked, the caller
-        may have left, and the chosen server may have been drained or evacuated.
+        While servers were asked, the chosen one may have been drained or evacuated,
+        or a hedge may have gone to it; or its connection has ended, in which case
+        nothing was written and nothing can have run.
         """
         server = place.server
+        return not (
+            server.leaving
+            or server.listing.data_centre in self.board.evacuated
+            or server.identity in call.tried
+            or not place.connection.reusable
+        )
+
+    def _refusal(self, call, place, now, hedge):
+        """Return why the request is not to be sent at all, or ""."""
         if call.request.caller_gone:
             return "caller left"
-        if server.leaving or server.listing.data_centre in self.board.evacuated:
-            return "server is leaving"
-        if server.identity in call.tried:
-            return "server was tried"
         left = call.give_up_at - now
         if left < LEAST_TIME:
             return "no time left"
--- a/boragegw/gateway/_front.py
+++ b/boragegw/gateway/_front.py
@@ -305,12 +305,16 @@
     """Return the status to refuse a request with for its head, or 0.
 
     Guards against request smuggling: a request with two lengths, or with a length and
-    chunks, could be read as two requests behind us.
+    chunks, could be read as two requests behind us; one with two hosts could be
+    routed by the one and served by the other.
     """
     lengths = 0
     encodings = 0
+    hosts = 0
     for name, value in request.headers:
-        if name == b"content-length":
+        if name == b"host":
+            hosts += 1
+        elif name == b"content-length":
             lengths += 1
             if not value.strip().isdigit():
                 return 400
@@ -320,7 +324,7 @@
             encodings += 1
             if value.strip().lower() != b"chunked":
                 return 400
-    if lengths > 1 or encodings > 1 or (lengths and encodings):
+    if hosts > 1 or lengths > 1 or encodings > 1 or (lengths and encodings):
         return 400
     if sum(len(n) + len(v) + 4 for n, v in request.headers) > limits.header_bytes:
         return 431
--- a/boragegw/platform/__init__.py
+++ b/boragegw/platform/__init__.py
@@ -3,7 +3,12 @@
 from boragegw.platform._dialect import PlatformDialect
 from boragegw.platform._documents import DocumentDecoder
 from boragegw.platform._endpoints import Endpoints
-from boragegw.platform._process import PlatformProcess, main
+from boragegw.platform._process import (
+    PlatformProcess,
+    assemble,
+    main,
+    open_endpoints,
+)
 from boragegw.platform._settings import PlatformSettings, load_settings
 from boragegw.platform._store import StoreClient
 
@@ -14,6 +19,8 @@
     "PlatformProcess",
     "PlatformSettings",
     "StoreClient",
+    "assemble",
     "load_settings",
     "main",
+    "open_endpoints",
 ]
--- a/boragegw/platform/_process.py
+++ b/boragegw/platform/_process.py
@@ -13,6 +13,45 @@
 EXIT_BAD_SETTINGS = 2
 
 
+def assemble(settings, log, now, random_state=None):
+    """Return a :class:`~boragegw.gateway.Gateway` for this platform.
+
+    :param settings: :class:`PlatformSettings`.
+    :param log: an :class:`~boragegw.gateway.EventLog`.
+    :param now: function that returns monotonic seconds.
+    """
+    board = gateway.Board()
+
+    def peer_source(address):
+        host, _, port = address.rpartition(":")
+        return _store.StoreClient((host, int(port)), now, board.counters, "peer_reads")
+
+    return gateway.Gateway(
+        settings.gateway,
+        _dialect.PlatformDialect(),
+        _documents.DocumentDecoder(log),
+        _store.StoreClient(settings.store, now, board.counters, "store_calls"),
+        peer_source,
+        board=board,
+        log=log,
+        now=now,
+        random_state=random_state,
+    )
+
+
+async def open_endpoints(process, settings):
+    """Listen for what the platform, callers and peers ask; return the listeners."""
+    endpoints = _endpoints.Endpoints(process, settings.keep_for)
+    wanted = [
+        (endpoints.ready, settings.ready),
+        (endpoints.resolve, settings.directory),
+        (endpoints.mirror, settings.gateway.peer),
+    ]
+    if settings.control is not None:
+        wanted.append((endpoints.status, settings.control))
+    return [await process.listen(handler, address) for handler, address in wanted]
+
+
 class PlatformProcess:
     """One process on the platform.
 
@@ -37,50 +76,16 @@
             loop.add_signal_handler(number, self._told.set)
         self._settings = _settings.load_settings(self.path)
         self._stat = _stamp(self.path)
-        self._build(loop.time)
+        log = gateway.EventLog(self._settings.gateway.name, loop.time)
+        self.process = assemble(self._settings, log, loop.time)
         await self.process.start()
-        await self._listen()
+        self._listeners = await open_endpoints(self.process, self._settings)
         watch = loop.create_task(self._watch_settings())
         await self._told.wait()
         watch.cancel()
         await self.process.stop()
         return 0
 
-    def _build(self, now):
-        settings = self._settings
-        log = gateway.EventLog(settings.gateway.name, now)
-        board = gateway.Board()
-        self.process = gateway.Gateway(
-            settings.gateway,
-            _dialect.PlatformDialect(),
-            _documents.DocumentDecoder(log),
-            _store.StoreClient(settings.store, now, board.counters),
-            self._peer_source,
-            board=board,
-            log=log,
-            now=now,
-        )
-
-    def _peer_source(self, address):
-        host, _, port = address.rpartition(":")
-        process = self.process
-        return _store.StoreClient(
-            (host, int(port)), process.now, process.board.counters
-        )
-
-    async def _listen(self):
-        settings = self._settings
-        endpoints = _endpoints.Endpoints(self.process, settings.keep_for)
-        wanted = [
-            (endpoints.ready, settings.ready),
-            (endpoints.resolve, settings.directory),
-            (endpoints.mirror, settings.gateway.peer),
-        ]
-        if settings.control is not None:
-            wanted.append((endpoints.status, settings.control))
-        for handler, address in wanted:
-            self._listeners.append(await self.process.listen(handler, address))
-
     def _reload(self):
         """Take over what may change while the process runs: the seeds."""
         if self.process is None:
--- a/boragegw/platform/_store.py
+++ b/boragegw/platform/_store.py
@@ -48,10 +48,12 @@
     :param address: ``(host, port)``.
     :param now: function that returns monotonic seconds.
     :param counters: the board's counters.
+    :param counter: name under which calls are counted.
     """
 
-    def __init__(self, address, now, counters):
+    def __init__(self, address, now, counters, counter="store_calls"):
         self.address = address
+        self.counter = counter
         self.now = now
         self.counters = counters
         self._pool = gateway.Pool(address, now)
@@ -87,7 +89,7 @@
         )
 
     async def _get(self, path, decoder, timeout):
-        self.counters["store_calls"] += 1
+        self.counters[self.counter] += 1
         host, port = self.address
         request = f"GET {path} HTTP/1.1\r\nhost: {host}:{port}\r\n\r\n".encode()
         try:
--- a/boragegw/standins/__init__.py
+++ b/boragegw/standins/__init__.py
@@ -4,6 +4,7 @@
 from boragegw.standins._caller import Caller, CallerAnswer
 from boragegw.standins._fleet import LocalFleet
 from boragegw.standins._history import AnswerEvent, violations
+from boragegw.standins._memory_network import HOST, MemoryLoop, run_in_memory
 from boragegw.standins._platform import PublishedState, StandinPlatform
 from boragegw.standins._virtual_backend import RunEvent, VirtualBackend, VirtualFaults
 from boragegw.standins._virtual_fleet import ServiceShape, VirtualFleet
@@ -13,13 +14,18 @@
     VirtualWorld,
 )
 from boragegw.standins._virtual_transport import VirtualTransport
+from boragegw.standins._wire_backend import WireBackend, WireFaults
+from boragegw.standins._wire_store import WireStore
+from boragegw.standins._wire_world import WireWorld, request_bytes
 
 __all__ = [
+    "HOST",
     "AnswerEvent",
     "BackendFaults",
     "Caller",
     "CallerAnswer",
     "LocalFleet",
+    "MemoryLoop",
     "PublishedState",
     "RunEvent",
     "ServiceShape",
@@ -32,5 +38,11 @@
     "VirtualPlatform",
     "VirtualTransport",
     "VirtualWorld",
+    "WireBackend",
+    "WireFaults",
+    "WireStore",
+    "WireWorld",
+    "request_bytes",
+    "run_in_memory",
     "violations",
 ]
--- /dev/null
+++ b/boragegw/standins/_wire_store.py
@@ -0,0 +1,102 @@
+"""A stand-in of the users' platform store, in its published form."""
+
+import asyncio
+import base64
+import json
+import urllib.parse
+
+from boragegw import gateway
+
+
+class WireStore:
+    """Keys with revisions, ranges in pages, watches.
+
+    :param page: items in a page.
+    :param status: answers each call with this status instead, if set.
+    :param hang: answers nothing while set.
+    """
+
+    def __init__(self, address=("store", 1), page=500):
+        self.address = address
+        self.page = page
+        self.status = None
+        self.hang = False
+        self.calls = 0
+        self.revision = 0
+        self.history_from = 0
+        self._items = {}
+        self._events = []
+        self._changed = asyncio.Event()
+
+    async def start(self):
+        """Listen."""
+        now = asyncio.get_running_loop().time
+        return await gateway.Endpoint(self._handle, now=now).listen(self.address)
+
+    def put(self, key, value):
+        """Write ``value``: bytes, or what is then sent as JSON."""
+        if not isinstance(value, bytes):
+            value = json.dumps(value).encode()
+        self.revision += 1
+        text = base64.b64encode(value).decode()
+        item = {"key": key, "value": text, "rev": self.revision, "lease": 0}
+        item["created"] = self.revision
+        self._items[key] = item
+        self._note(item)
+
+    def delete(self, key):
+        """Delete a key."""
+        self.revision += 1
+        self._items.pop(key, None)
+        self._note({"key": key, "rev": self.revision, "deleted": True})
+
+    def forget_history(self):
+        """Answer watches from before now with 410."""
+        self._events.clear()
+        self.history_from = self.revision
+
+    def _note(self, event):
+        self._events.append(event)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _handle(self, request):
+        self.calls += 1
+        if self.hang:
+            await asyncio.sleep(3600)
+        if self.status is not None:
+            return gateway.Reply(self.status)
+        path, _, text = request.target.decode().partition("?")
+        query = dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
+        if path == "/v1/kv-range":
+            return self._range(query)
+        if path == "/v1/kv-watch":
+            return await self._watch(query)
+        return gateway.Reply(404)
+
+    def _range(self, query):
+        prefix = query.get("prefix", "")
+        after = query.get("after", "")
+        keys = sorted(k for k in self._items if k.startswith(prefix) and k > after)
+        items = [self._items[key] for key in keys[: self.page]]
+        more = len(keys) > self.page
+        return _json({"items": items, "has_more": more, "as_of": self.revision})
+
+    async def _watch(self, query):
+        after = int(query["after"])
+        loop = asyncio.get_running_loop()
+        end = loop.time() + int(query.get("wait_ms", "0")) / 1000
+        while True:
+            if after < self.history_from:
+                return gateway.Reply(410)
+            events = [e for e in self._events if e["rev"] > after]
+            left = end - loop.time()
+            if events or left <= 0:
+                return _json({"events": events, "as_of": self.revision})
+            changed = asyncio.ensure_future(self._changed.wait())
+            await asyncio.wait((changed,), timeout=left)
+            changed.cancel()
+
+
+def _json(body):
+    return gateway.Reply(200, json.dumps(body).encode())
