--- a/boragegw/balancing/__init__.py
+++ b/boragegw/balancing/__init__.py
@@ -15,6 +15,7 @@
     bare_host,
 )
 from boragegw.balancing._servers import FailureShare, Listing, LoadReport, Server
+from boragegw.balancing._shedding import Fullness, SheddingPolicy
 from boragegw.balancing._warming import WarmupPolicy
 
 __all__ = [
@@ -23,6 +24,7 @@
     "CallerLimits",
     "Configuration",
     "FailureShare",
+    "Fullness",
     "Listing",
     "LoadReport",
     "Offer",
@@ -32,6 +34,7 @@
     "RouteTable",
     "Server",
     "ServiceSettings",
+    "SheddingPolicy",
     "SlidingCount",
     "WarmupPolicy",
     "WeightedService",
--- a/boragegw/balancing/_asking.py
+++ b/boragegw/balancing/_asking.py
@@ -11,6 +11,10 @@
 
 from boragegw import utils
 
+#: Slots from which a server counts as one that slows down before it is full; with
+#: fewer, one slot kept free would cost too much of it.
+KNEE_SLOTS = 4
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Offer:
@@ -18,11 +22,13 @@
 
     :param cost: expected time of a request there, in multiples of the usual time.
     :param quiet: good enough to ask no further.
+    :param room: it can take one more request without a queue.
     """
 
     server: object
     cost: float
     quiet: bool
+    room: bool
 
 
 class AskingPolicy(utils.Parameterized):
@@ -37,6 +43,12 @@
     :param distance_cost: added to the cost of a server in another data centre.
     :param failure_cost: added in proportion to the share of recent failures.
     :param memory: seconds for which an old report counts in the order of asking.
+    :param slow_weight: cost of a server that works n times as slowly is 1 plus this
+        times (n - 1). Such a state lasts 150 ms, less than most requests, so a
+        request that begins in it does not stay slow to its end.
+    :param fill_share: a server of :data:`KNEE_SLOTS` slots or more has room up to
+        this share of them. Beyond it, such servers were seen to slow down all they
+        hold by 1.7.
     """
 
     _parameter_constraints = {
@@ -46,6 +58,8 @@
         "distance_cost": utils.Interval(float, 0, 10),
         "failure_cost": utils.Interval(float, 0, 100),
         "memory": utils.Interval(float, 0, 10),
+        "slow_weight": utils.Interval(float, 0, 1),
+        "fill_share": utils.Interval(float, 0.1, 10),
     }
 
     def __init__(
@@ -57,6 +71,8 @@
         distance_cost=0.15,
         failure_cost=6.0,
         memory=0.12,
+        slow_weight=0.4,
+        fill_share=0.8,
     ):
         self.data_centre = data_centre
         self.wave = wave
@@ -65,15 +81,21 @@
         self.distance_cost = distance_cost
         self.failure_cost = failure_cost
         self.memory = memory
+        self.slow_weight = slow_weight
+        self.fill_share = fill_share
+
+    def waves(self, candidates, *, fullness, now, random_state):
+        """Yield lists of servers to ask, the most promising first.
 
-    def waves(self, candidates, *, now, random_state):
-        """Yield lists of servers to ask, the most promising first."""
+        :param fullness: share of recent searches that found no room. Each question
+            takes a few milliseconds of a server, so a full service is asked less.
+        """
         self._check_params()
         order = sorted(
             candidates,
             key=lambda server: self._expectation(server, now, random_state),
         )
-        most = order[: self.most]
+        most = order[: max(self.wave, round(self.most * (1.0 - 0.7 * fullness)))]
         for start in range(0, len(most), self.wave):
             yield most[start : start + self.wave]
 
@@ -97,13 +119,21 @@
         else:
             cost = self._load_cost(server, report)
         cost += self.failure_cost * server.failures.share(now)
-        quiet = cost <= self.quiet_cost
+        room = self._has_room(server, report)
+        quiet = room and cost <= self.quiet_cost
         if server.listing.data_centre != self.data_centre:
             cost += self.distance_cost
-        return Offer(server, cost, quiet)
+        return Offer(server, cost, quiet, room)
 
-    @staticmethod
-    def _load_cost(server, report):
+    def _has_room(self, server, report):
+        slots = server.slots if report is None else max(1, report.slots)
+        ahead = server.own_in_flight
+        if report is not None:
+            ahead = max(ahead, report.running + report.waiting)
+        limit = slots if slots < KNEE_SLOTS else int(self.fill_share * slots)
+        return ahead < limit
+
+    def _load_cost(self, server, report):
         """Return the expected time there, in multiples of the usual time.
 
         Requests sent by this process since the report count as if reported: a burst
@@ -112,7 +142,8 @@
         slots = max(1, report.slots)
         ahead = max(report.running + report.waiting, server.own_in_flight)
         queueing = max(0, ahead + 1 - slots) / slots
-        return report.slowness * (1.0 + queueing)
+        slowness = 1.0 + self.slow_weight * (report.slowness - 1.0)
+        return slowness * (1.0 + queueing)
 
     @staticmethod
     def best(offers):
--- a/boragegw/gateway/_asker.py
+++ b/boragegw/gateway/_asker.py
@@ -64,12 +64,15 @@
         self.log = log
         self._pools = {}
 
-    async def place(self, service, tried, give_up_at):
-        """Return a :class:`Place`, or ``None`` if no server bears the request.
+    async def place(self, service, tried, give_up_at, fullness):
+        """Return a :class:`Place`, or ``None`` if no server has room.
+
+        A service that was full a moment ago is asked less: its answers cost it time.
 
         :param service: :class:`~boragegw.balancing.ServiceSettings`.
         :param tried: identities of servers that are not asked.
         :param give_up_at: monotonic seconds.
+        :param fullness: :class:`~boragegw.balancing.Fullness` of the service.
         """
         servers = self.board.by_service.get(service.name, ())
         now = self.now()
@@ -80,7 +83,12 @@
             candidates = self._cold_candidates(servers, tried, now)
         replies = _Replies()
         questions = set()
-        waves = self.policy.waves(candidates, now=now, random_state=self.random_state)
+        waves = self.policy.waves(
+            candidates,
+            fullness=fullness.share(now),
+            now=now,
+            random_state=self.random_state,
+        )
         try:
             for wave in waves:
                 questions |= {self._start(service, server) for server in wave}
@@ -90,7 +98,9 @@
                     break
             if not replies.well and questions:
                 await self._collect(questions, replies, ANSWER_TIMEOUT)
-            return self._choose(service, replies)
+            place = self._choose(service, replies)
+            fullness.observe(place is None, self.now())
+            return place
         finally:
             for question in questions:
                 question.add_done_callback(self._release_late)
@@ -140,10 +150,13 @@
 
     def _choose(self, service, replies):
         """Return the best place and remove it from the replies."""
-        if replies.well:
-            best = min(replies.well, key=lambda place: place.offer.cost)
+        roomy = [place for place in replies.well if place.offer.room]
+        if roomy:
+            best = min(roomy, key=lambda place: place.offer.cost)
             replies.well.remove(best)
             return best
+        if replies.well:
+            return None
         for place in list(replies.cold):
             if self._may_warm(service, place.server):
                 replies.cold.remove(place)
--- a/boragegw/gateway/_carrier.py
+++ b/boragegw/gateway/_carrier.py
@@ -18,11 +18,9 @@
 PLACINGS = 3
 #: Share of the repeat budget that hedges leave to repeats after failures.
 HEDGE_RESERVE = 0.35
-#: Seconds after which a refused caller may come back, if it can still be served in
-#: time; load shifts within 150 ms.
-RETRY_SOON = 0.05
-#: The same after the target latency has passed, when only the deadline counts.
-RETRY_LATER = 0.15
+#: Share of searches without room above which nothing is hedged: a hedge would take
+#: the room of a request that has none.
+HEDGE_FULLNESS = 0.05
 #: Seconds that a caller is told to wait while no configuration is known yet.
 RETRY_UNCONFIGURED = 0.3
 
@@ -83,6 +81,7 @@
     def __init__(self, budget):
         self.budget = budget
         self.hedging = balancing.AgeHedgePolicy()
+        self.fullness = balancing.Fullness()
 
 
 class Carrier:
@@ -100,6 +99,7 @@
         self.now = now
         self.random_state = random_state
         self.log = log
+        self.shedding = balancing.SheddingPolicy()
         self._services = {}
         self._turns = {}
 
@@ -222,6 +222,8 @@
     def _may_hedge(self, call, state, now):
         if call.sends >= call.route.max_attempts:
             return False
+        if state.fullness.share(now) > HEDGE_FULLNESS:
+            return False
         return state.budget.take(now, self.board.processes, HEDGE_RESERVE)
 
     def _may_repeat(self, call, state):
@@ -256,9 +258,9 @@
     async def _send_once(self, call, hedge=False):
         """Place the request and send it; return an :class:`Outcome`."""
         for _ in range(PLACINGS):
-            place = await self.asker.place(call.service, call.tried, call.give_up_at)
+            place = await self._find_place(call, hedge)
             if place is None:
-                return Outcome(Verdict.NOT_RUN, placed=False, reason="no server found")
+                return Outcome(Verdict.NOT_RUN, placed=False, reason="no room")
             server = place.server
             pool = self.asker.pool(server)
             now = self.now()
@@ -286,6 +288,19 @@
             pool.release(place.connection)
         return outcome
 
+    async def _find_place(self, call, hedge):
+        """Return a place, after a short wait for room if need be."""
+        fullness = self.state(call.service.name).fullness
+        hold_until = self.shedding.hold_until(call.route, call.request.arrived)
+        while True:
+            place = await self.asker.place(
+                call.service, call.tried, call.give_up_at, fullness
+            )
+            left = hold_until - self.now()
+            if place is not None or hedge or left < self.shedding.pause:
+                return place
+            await asyncio.sleep(self.shedding.pause)
+
     def _still_fits(self, call, place):
         """Return whether the place is still one, right before the send.
 
@@ -396,8 +411,7 @@
         status = self._failure_status(call, now)
         retry_after = None
         if status == 503:
-            in_time = now - call.request.arrived < 0.5 * call.route.target_latency
-            retry_after = RETRY_SOON if in_time else RETRY_LATER
+            retry_after = self.shedding.retry_after(call.route)
         self.board.counters[f"own_{status}"] += 1
         self.log.event(
             "request-failed",
--- a/boragegw/gateway/_membership.py
+++ b/boragegw/gateway/_membership.py
@@ -15,8 +15,11 @@
 MAYBE_ALIVE = 30.0
 #: Processes to which a heartbeat goes; with more, news spread in a few steps.
 FANOUT = 24
-#: News of other processes in a heartbeat; keeps a datagram below 1,200 bytes.
-NEWS = 8
+#: News of other processes in a heartbeat. Where everybody hears everybody, one helps a
+#: process that does not know all seeds' news yet; with more processes than
+#: :data:`FANOUT` a heartbeat carries as many as fit in 1,200 bytes.
+NEWS = 1
+NEWS_OF_MANY = 8
 
 
 class Life(enum.IntEnum):
@@ -165,7 +168,8 @@
     def _heartbeat(self):
         now = self.now()
         fresh = [k for k in self._known.values() if now - k.heard_at < SILENCE]
-        chosen = self.random_state.sample(fresh, min(NEWS, len(fresh)))
+        most = NEWS if len(fresh) <= FANOUT else NEWS_OF_MANY
+        chosen = self.random_state.sample(fresh, min(most, len(fresh)))
         news = [News(k.member, round(now - k.heard_at, 3)) for k in chosen]
         alone = not fresh
         return self._encode(Heartbeat(self.own, news, alone))
--- a/boragegw/gateway/_process.py
+++ b/boragegw/gateway/_process.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import dataclasses
+import os
 import random
-import secrets
 
 from boragegw import balancing
 from boragegw.gateway import (
@@ -109,7 +109,7 @@
         )
         self.own = _membership.Member(
             name=settings.name,
-            incarnation=secrets.randbits(63),
+            incarnation=int.from_bytes(os.urandom(8), "big") >> 1,
             beat=0,
             data_centre=settings.data_centre,
             front=_joined(settings.front),
--- a/boragegw/platform/_dialect.py
+++ b/boragegw/platform/_dialect.py
@@ -1,7 +1,5 @@
 """The platform's spelling of requests and answers."""
 
-import http
-
 from boragegw import balancing, gateway
 from boragegw.platform import _names
 
@@ -23,8 +21,17 @@
         _names.EXPECTED_SERVER,
     )
 )
-#: A caller may not name more of its headers for one connection than these.
-STATUS_TEXT = {status.value: status.phrase for status in http.HTTPStatus}
+MISDIRECTED = 421
+STATUS_TEXT = {
+    400: "Bad Request",
+    404: "Not Found",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
 
 
 class PlatformDialect(gateway.Dialect):
@@ -106,13 +113,13 @@
 
     def is_not_run(self, answer):
         """Return whether the backend server says that it did not run the request."""
-        return answer.status == http.HTTPStatus.MISDIRECTED_REQUEST or (
+        return answer.status == MISDIRECTED or (
             _value(answer.headers, _names.NOT_RUN) is not None
         )
 
     def is_other_server(self, answer):
         """Return whether another server answered at the address."""
-        return answer.status == http.HTTPStatus.MISDIRECTED_REQUEST
+        return answer.status == MISDIRECTED
 
     def is_authentic(self, answer):
         """Return whether a backend server made the answer."""
--- a/boragegw/platform/_endpoints.py
+++ b/boragegw/platform/_endpoints.py
@@ -1,7 +1,5 @@
 """What the platform and callers ask: ready, directory; and peers: the store's form."""
 
-import urllib.parse
-
 import msgspec
 
 from boragegw import gateway
@@ -122,4 +120,14 @@
 
 def _query(request):
     text = request.target.partition(b"?")[2].decode("latin-1")
-    return dict(urllib.parse.parse_qsl(text))
+    pairs = (part.partition("=") for part in text.split("&") if part)
+    return {_unquoted(name): _unquoted(value) for name, _, value in pairs}
+
+
+def _unquoted(text):
+    if "%" not in text and "+" not in text:
+        return text
+    # Rarely needed; the import takes 4 ms of every start.
+    import urllib.parse
+
+    return urllib.parse.unquote_plus(text)
--- a/boragegw/platform/_settings.py
+++ b/boragegw/platform/_settings.py
@@ -1,7 +1,8 @@
 """The platform's settings file, checked and turned into the product's settings."""
 
 import dataclasses
-import tomllib
+
+import msgspec
 
 from boragegw import errors, gateway
 
@@ -36,9 +37,11 @@
     """
     try:
         with open(path, "rb") as file:
-            data = tomllib.load(file)
-    except (OSError, tomllib.TOMLDecodeError) as error:
+            data = msgspec.json.decode(file.read())
+    except (OSError, msgspec.DecodeError) as error:
         raise errors.ConfigurationError(path, "file", str(error)) from error
+    if not isinstance(data, dict):
+        raise errors.ConfigurationError(path, "file", "expected a JSON object")
     return _Reader(path, data).settings()
 
 
