--- a/boragegw/balancing/__init__.py
+++ b/boragegw/balancing/__init__.py
@@ -1,8 +1,9 @@
 """Decisions of the gateway: pure, without input or output, light to import."""
 
 from boragegw.balancing._asking import AskingPolicy, Offer, expected_wait, usable
-from boragegw.balancing._budget import RepeatBudget, SlidingCount
+from boragegw.balancing._budget import ProbeBudget, RepeatBudget, SlidingCount
 from boragegw.balancing._hedging import AgeHedgePolicy
+from boragegw.balancing._quarantine import QuarantinePolicy
 from boragegw.balancing._routing import (
     CallerLimits,
     Configuration,
@@ -28,6 +29,8 @@
     "Listing",
     "LoadReport",
     "Offer",
+    "ProbeBudget",
+    "QuarantinePolicy",
     "RepeatBudget",
     "Route",
     "RouteKind",
--- a/boragegw/balancing/_asking.py
+++ b/boragegw/balancing/_asking.py
@@ -41,6 +41,8 @@
     :param quiet_cost: a candidate whose expected time is at most this multiple of
         the usual time is taken without asking further.
     :param distance_cost: added to the cost of a server in another data centre.
+    :param heavy_distance_cost: the same where the answer is large, as a download's is:
+        its bytes between data centres cost more than a somewhat slower server.
     :param failure_cost: added in proportion to the share of recent failures.
     :param memory: seconds for which an old report counts in the order of asking.
     :param slow_weight: cost of a server that works n times as slowly is 1 plus this
@@ -56,6 +58,7 @@
         "most": utils.Interval(int, 1, 64),
         "quiet_cost": utils.Interval(float, 1, 100),
         "distance_cost": utils.Interval(float, 0, 10),
+        "heavy_distance_cost": utils.Interval(float, 0, 100),
         "failure_cost": utils.Interval(float, 0, 100),
         "memory": utils.Interval(float, 0, 10),
         "slow_weight": utils.Interval(float, 0, 1),
@@ -69,6 +72,7 @@
         most=8,
         quiet_cost=1.5,
         distance_cost=0.15,
+        heavy_distance_cost=1.0,
         failure_cost=6.0,
         memory=0.12,
         slow_weight=0.4,
@@ -79,40 +83,50 @@
         self.most = most
         self.quiet_cost = quiet_cost
         self.distance_cost = distance_cost
+        self.heavy_distance_cost = heavy_distance_cost
         self.failure_cost = failure_cost
         self.memory = memory
         self.slow_weight = slow_weight
         self.fill_share = fill_share
 
-    def waves(self, candidates, *, fullness, now, random_state):
+    def waves(self, candidates, *, allowed, fullness, now, random_state, heavy=False):
         """Yield lists of servers to ask, the most promising first.
 
+        :param allowed: most servers that may be asked.
         :param fullness: share of recent searches that found no room. Each question
             takes a few milliseconds of a server, so a full service is asked less.
+        :param heavy: the answer is large.
         """
         self._check_params()
         order = sorted(
             candidates,
-            key=lambda server: self._expectation(server, now, random_state),
+            key=lambda server: self._expectation(server, now, random_state, heavy),
         )
-        most = order[: max(self.wave, round(self.most * (1.0 - 0.7 * fullness)))]
+        wanted = max(self.wave, round(self.most * (1.0 - 1.5 * fullness)))
+        most = order[: min(wanted, allowed)]
         for start in range(0, len(most), self.wave):
             yield most[start : start + self.wave]
 
-    def _expectation(self, server, now, random_state):
+    def _expectation(self, server, now, random_state, heavy):
         """Return a guess of the cost from what is known without asking."""
         load = server.own_in_flight / server.slots
         guess = load + 0.3 * random_state.random()
         if server.listing.data_centre != self.data_centre:
-            guess += self.distance_cost + 0.2
+            guess += 0.2 + self._distance(heavy)
         guess += self.failure_cost * server.failures.share(now)
         report = server.report
         if report is not None and now - report.received_at < self.memory:
             guess += 0.5 * (self._load_cost(server, report) - 1.0)
         return guess
 
-    def judge(self, server, now):
-        """Return the :class:`Offer` of a server whose report has just arrived."""
+    def _distance(self, heavy):
+        return self.heavy_distance_cost if heavy else self.distance_cost
+
+    def judge(self, server, now, heavy=False):
+        """Return the :class:`Offer` of a server whose report has just arrived.
+
+        :param heavy: the answer is large.
+        """
         report = server.report
         if report is None:
             cost = 1.0 + server.own_in_flight / server.slots
@@ -122,7 +136,8 @@
         room = self._has_room(server, report)
         quiet = room and cost <= self.quiet_cost
         if server.listing.data_centre != self.data_centre:
-            cost += self.distance_cost
+            cost += self._distance(heavy)
+            quiet = quiet and not heavy
         return Offer(server, cost, quiet, room)
 
     def _has_room(self, server, report):
--- a/boragegw/balancing/_budget.py
+++ b/boragegw/balancing/_budget.py
@@ -32,6 +32,51 @@
         return self._sum
 
 
+class ProbeBudget(utils.Parameterized):
+    """Limits the questions to a service's backend servers.
+
+    Guards against measuring that takes the place of work: a probe takes up to 6 ms of
+    a slot, and while a service is full each request is tempted to ask everybody. The
+    whole fleet may ask a server ``rate`` times a second; each process fills its part.
+
+    :param rate: questions per backend server and second of the whole fleet.
+    :param margin: share of the rate that is used.
+    :param burst: seconds of the rate that may be saved up.
+    """
+
+    _parameter_constraints = {
+        "rate": utils.Interval(float, 0, 1e6),
+        "margin": utils.Interval(float, 0, 1),
+        "burst": utils.Interval(float, 0, 60),
+    }
+
+    def __init__(self, rate=60.0, margin=0.7, burst=2.0):
+        self.rate = rate
+        self.margin = margin
+        self.burst = burst
+        self._bucket = utils.TokenBucket(0.0)
+
+    def left(self, now, servers, processes):
+        """Return how many questions may be asked now; at least one.
+
+        A request whose place was not asked could meet a connection that has silently
+        ended, so one question is always allowed.
+
+        :param servers: backend servers of the service.
+        :param processes: processes that may be alive, this one included.
+        """
+        self._check_params()
+        bucket = self._bucket
+        bucket.per_second = self.rate * self.margin * servers / processes
+        bucket.capacity = max(1.0, bucket.per_second * self.burst)
+        bucket.refill(now)
+        return max(1, int(bucket.tokens))
+
+    def take(self, questions):
+        """Count ``questions`` that were asked."""
+        self._bucket.tokens = max(0.0, self._bucket.tokens - questions)
+
+
 class RepeatBudget(utils.Parameterized):
     """Permits second sends of a service's requests.
 
--- /dev/null
+++ b/boragegw/balancing/tests/test_decisions.py
@@ -0,0 +1,195 @@
+"""Asking, budgets, warming, shedding, hedging: each at its thresholds."""
+
+import random
+
+import pytest
+
+from boragegw import balancing, utils
+
+
+def server(name="s", data_centre="dc-a", slots=6, **fields):
+    listing = balancing.Listing(
+        name, "app", (name, 1), data_centre, "v1", slots, False, 0.0
+    )
+    return balancing.Server(listing, **fields)
+
+
+def report(running=0, waiting=0, slots=6, slowness=1.0, at=0.0):
+    return balancing.LoadReport(running, waiting, slots, slowness, at)
+
+
+@pytest.mark.parametrize(
+    "policy",
+    [
+        balancing.AskingPolicy(wave=0),
+        balancing.RepeatBudget(window=0),
+        balancing.WarmupPolicy(margin=2),
+        balancing.SheddingPolicy(hold_share=-1),
+        balancing.AgeHedgePolicy(quantile=2),
+    ],
+    ids=lambda policy: type(policy).__name__,
+)
+def test_parameters_are_checked_at_use(policy):
+    with pytest.raises(utils.InvalidParameterError, match="expected"):
+        policy._check_params()
+
+
+@pytest.mark.parametrize(
+    ("load", "slots", "room"),
+    [
+        (report(3, 0, 6), 6, True),
+        (report(4, 0, 6), 6, False),
+        (report(3, 1, 6), 6, False),
+        (report(1, 0, 2), 2, True),
+        (report(2, 0, 2), 2, False),
+        (None, 6, True),
+    ],
+)
+def test_room_ends_before_a_large_server_slows_down(load, slots, room):
+    """Servers with six slots were seen to slow down by 1.7 from 80% of them: with all
+    slots filled, a service bore 235 requests a second instead of 267.
+    """
+    candidate = server(slots=slots, report=load)
+    assert balancing.AskingPolicy().judge(candidate, 0.0).room is room
+
+
+def test_own_requests_count_although_the_report_does_not_show_them_yet():
+    candidate = server(slots=2, report=report(0, 0, 2), own_in_flight=2)
+    assert not balancing.AskingPolicy().judge(candidate, 0.0).room
+
+
+def test_near_equals_are_taken_from_the_own_data_centre():
+    policy = balancing.AskingPolicy("dc-a")
+    near, far = server("n", "dc-a"), server("f", "dc-b")
+    near.report = far.report = report()
+    assert policy.judge(near, 0.0).cost < policy.judge(far, 0.0).cost
+
+
+def test_failing_server_costs_more_than_a_slow_one():
+    """A server that fails at once has nothing in flight and would draw all work."""
+    policy = balancing.AskingPolicy()
+    failing, slow = server("f"), server("s", report=report(slowness=5.0))
+    failing.report = report()
+    for _ in range(4):
+        failing.failures.observe(True, 0.0)
+    assert policy.judge(failing, 0.0).cost > policy.judge(slow, 0.0).cost
+    assert policy.judge(failing, 20.0).cost < policy.judge(slow, 20.0).cost
+
+
+def test_full_service_is_asked_less():
+    policy = balancing.AskingPolicy(most=8, wave=2)
+    servers = [server(str(n)) for n in range(12)]
+
+    def asked(fullness, allowed=99):
+        waves = policy.waves(
+            servers,
+            allowed=allowed,
+            fullness=fullness,
+            now=0.0,
+            random_state=random.Random(1),
+        )
+        return sum(len(wave) for wave in waves)
+
+    assert asked(0.0) == 8
+    assert asked(1.0) == 2
+    assert asked(0.0, allowed=3) == 3
+
+
+def test_fleet_of_probes_stays_within_the_rule():
+    """A service is full, and each request of 17 processes asks all it may. The
+    questions would take the slots of the work that they look for.
+    """
+    fleet = [balancing.ProbeBudget(60.0) for _ in range(17)]
+    asked = 0
+    for step in range(10_000):
+        budget = fleet[step % 17]
+        questions = min(8, budget.left(step * 0.002, 20, 17))
+        budget.take(questions)
+        asked += questions
+    assert asked / 20.0 / 20 <= 60
+
+
+def test_ill_servers_are_used_where_no_other_is_left():
+    """All health checks of a service fail at once, though its servers answer: a
+    common cause lies. Refusing everything would turn the error into an outage.
+    """
+    servers = [server(str(n), unwell_until=10.0) for n in range(3)]
+    well = server("well")
+    assert balancing.usable([*servers, well], now=0.0, evacuated=()) == [well]
+    assert balancing.usable(servers, now=0.0, evacuated=()) == servers
+
+
+def test_leaving_evacuated_and_tried_servers_are_never_used():
+    removed = server("r", removed=True)
+    moved = server("m", moved=True)
+    out = server("o", "dc-b")
+    tried = server("t")
+    found = balancing.usable(
+        [removed, moved, out, tried], now=0.0, evacuated={"dc-b"}, excluded={"t"}
+    )
+    assert found == []
+
+
+def test_fleet_of_budgets_stays_within_the_rule():
+    """Every process spends all it may. In any ten seconds, the repeats of all stay
+    within a fifth of the requests and the slack.
+    """
+    fleet = [balancing.RepeatBudget(0.2, 50.0, 10.0) for _ in range(17)]
+    repeats, requests = [], []
+    for step in range(3000):
+        now = step * 0.02
+        budget = fleet[step % 17]
+        budget.observe_request(now)
+        requests.append(now)
+        while budget.take(now, 17):
+            repeats.append(now)
+    for start in range(0, 50):
+        spent = sum(start <= moment < start + 10 for moment in repeats)
+        asked = sum(start <= moment < start + 10 for moment in requests)
+        assert spent <= 0.2 * asked + 50
+
+
+def test_hedges_leave_budget_to_repeats_after_failures():
+    budget = balancing.RepeatBudget(0.2, 0.0, 10.0)
+    for _ in range(100):
+        budget.observe_request(0.0)
+    hedges = 0
+    while budget.take(0.0, 1, reserve=0.5):
+        hedges += 1
+    assert 5 <= hedges <= 8
+    assert budget.take(0.0, 1)
+
+
+def test_cold_server_gets_its_rate_from_all_processes_together():
+    """Thirteen processes meet a cold server that bears 3.6 requests a second. In no
+    second may all of them together send more than half as much again, and five.
+    """
+    cold = server("cold")
+    fleet = [(balancing.WarmupPolicy(), random.Random(n)) for n in range(13)]
+    sent = []
+    for step in range(1000):
+        now = step * 0.01
+        for policy, drawn in fleet:
+            if policy.permits(
+                cold, processes=13, rate=3.6, now=now, random_state=drawn
+            ):
+                sent.append(now)
+    for start in range(9):
+        assert sum(start <= moment < start + 1 for moment in sent) <= 3.6 * 1.5 + 5
+    assert len(sent) >= 20
+
+
+def test_hedge_comes_after_most_answers_and_before_the_target():
+    policy = balancing.AgeHedgePolicy()
+    for number in range(200):
+        policy.observe(0.1 + 0.001 * (number % 100))
+    assert 0.15 <= policy.delay(1.0) <= 0.25
+    assert policy.delay(0.2) == pytest.approx(0.11)
+
+
+def test_fullness_is_forgotten():
+    fullness = balancing.Fullness()
+    for _ in range(50):
+        fullness.observe(True, 0.0)
+    assert fullness.share(0.0) > 0.9
+    assert fullness.share(3.0) < 0.05
--- a/boragegw/decisions/__init__.py
+++ b/boragegw/decisions/__init__.py
@@ -1,5 +1,6 @@
 """Decisions: pure, without input or output; time and randomness are arguments."""
 
+from boragegw.balancing import QuarantinePolicy
 from boragegw.decisions._admission import LimitPolicy, admissible, is_admissible
 from boragegw.decisions._hedging import HedgePolicy
 from boragegw.decisions._idempotency import (
@@ -21,7 +22,6 @@
     RandomChoice,
     RoundRobin,
 )
-from boragegw.decisions._quarantine import QuarantinePolicy
 from boragegw.decisions._queueing import QueuePolicy, Waiter
 from boragegw.decisions._ramp import RampPolicy
 from boragegw.decisions._readers import ReaderPolicy
--- a/boragegw/gateway/_asker.py
+++ b/boragegw/gateway/_asker.py
@@ -15,6 +15,8 @@
 UNREACHABLE_PAUSE = 0.4
 #: Seconds for which a server whose health check fails is not asked if others are well.
 UNWELL_PAUSE = 0.7
+#: Seconds after a broken connection at which a crashed server no longer listens.
+CRASH_DELAY = 0.03
 #: Share of a backend server's connections that all processes together may open. The
 #: rest is for processes that are out of sight.
 CONNECTION_SHARE = 0.8
@@ -64,7 +66,7 @@
         self.log = log
         self._pools = {}
 
-    async def place(self, service, tried, give_up_at, fullness):
+    async def place(self, service, tried, give_up_at, state, heavy=False):
         """Return a :class:`Place`, or ``None`` if no server has room.
 
         A service that was full a moment ago is asked less: its answers cost it time.
@@ -72,7 +74,8 @@
         :param service: :class:`~boragegw.balancing.ServiceSettings`.
         :param tried: identities of servers that are not asked.
         :param give_up_at: monotonic seconds.
-        :param fullness: :class:`~boragegw.balancing.Fullness` of the service.
+        :param state: the service's :class:`ServiceState`.
+        :param heavy: the answer is large, so the own data centre comes first.
         """
         servers = self.board.by_service.get(service.name, ())
         now = self.now()
@@ -85,13 +88,16 @@
         questions = set()
         waves = self.policy.waves(
             candidates,
-            fullness=fullness.share(now),
+            allowed=state.probes.left(now, len(servers), self.board.processes),
+            fullness=state.fullness.share(now),
+            heavy=heavy,
             now=now,
             random_state=self.random_state,
         )
         try:
             for wave in waves:
-                questions |= {self._start(service, server) for server in wave}
+                state.probes.take(len(wave))
+                questions |= {self._start(service, server, heavy) for server in wave}
                 if await self._collect(questions, replies, WAVE_TIMEOUT):
                     break
                 if self.now() >= give_up_at:
@@ -99,7 +105,7 @@
             if not replies.well and questions:
                 await self._collect(questions, replies, ANSWER_TIMEOUT)
             place = self._choose(service, replies)
-            fullness.observe(place is None, self.now())
+            state.fullness.observe(place is None, self.now())
             return place
         finally:
             for question in questions:
@@ -116,8 +122,9 @@
             and server.identity not in tried
         ]
 
-    def _start(self, service, server):
-        return asyncio.get_running_loop().create_task(self._ask(service, server))
+    def _start(self, service, server, heavy):
+        loop = asyncio.get_running_loop()
+        return loop.create_task(self._ask(service, server, heavy))
 
     async def _collect(self, questions, replies, timeout):
         """Take replies until one is quiet; return whether one is."""
@@ -200,7 +207,7 @@
         share = service.max_connections * CONNECTION_SHARE / self.board.processes
         return max(2, int(share))
 
-    async def _ask(self, service, server):
+    async def _ask(self, service, server, heavy):
         """Ask one server; return a :class:`Place` or ``None``."""
         pool = self.pool(server)
         try:
@@ -232,7 +239,7 @@
             connection = await self._replace(service, server, connection)
             if connection is None:
                 return None
-        return self._judge(server, connection, answer)
+        return self._judge(server, connection, answer, heavy)
 
     async def _replace(self, service, server, ended):
         pool = self.pool(server)
@@ -243,7 +250,7 @@
             server.unreachable_until = self.now() + UNREACHABLE_PAUSE
             return None
 
-    def _judge(self, server, connection, answer):
+    def _judge(self, server, connection, answer, heavy):
         now = self.now()
         health = self.dialect.read_health(answer, now)
         if health.identity and health.identity != server.identity:
@@ -259,7 +266,17 @@
             server.cold_until = now + health.cold_for
         if not health.healthy:
             server.unwell_until = now + UNWELL_PAUSE
-        return Place(self.policy.judge(server, now), connection)
+        return Place(self.policy.judge(server, now, heavy), connection)
+
+    async def has_crashed(self, server):
+        """Return whether nothing listens at the server's address any more."""
+        await asyncio.sleep(CRASH_DELAY)
+        try:
+            connection = await self.pool(server).connect()
+        except _upstream.ExchangeError:
+            return True
+        self.pool(server).discard(connection)
+        return False
 
     def forget(self, addresses):
         """Close the connections to addresses that are no longer listed."""
--- a/boragegw/gateway/_carrier.py
+++ b/boragegw/gateway/_carrier.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import dataclasses
+import hashlib
 import math
 
-from boragegw import balancing, errors
+from boragegw import balancing, errors, utils
 from boragegw.gateway import _delivery, _upstream
 
 Verdict = errors.Verdict
@@ -21,6 +22,8 @@
 #: Share of searches without room above which nothing is hedged: a hedge would take
 #: the room of a request that has none.
 HEDGE_FULLNESS = 0.05
+#: Seconds that a caller is told to wait whose request crashes backend servers.
+RETRY_QUARANTINED = 60.0
 #: Seconds that a caller is told to wait while no configuration is known yet.
 RETRY_UNCONFIGURED = 0.3
 
@@ -78,8 +81,9 @@
 class ServiceState:
     """What this process has learned of one service."""
 
-    def __init__(self, budget):
+    def __init__(self, budget, probes):
         self.budget = budget
+        self.probes = probes
         self.hedging = balancing.AgeHedgePolicy()
         self.fullness = balancing.Fullness()
 
@@ -89,17 +93,38 @@
 
     :param make_budget: function that returns a fresh
         :class:`~boragegw.balancing.RepeatBudget`.
+    :param make_probe_budget: the same for a :class:`~boragegw.balancing.ProbeBudget`.
     """
 
-    def __init__(self, board, dialect, asker, make_budget, *, now, random_state, log):
+    def __init__(
+        self,
+        board,
+        dialect,
+        asker,
+        make_budget,
+        make_probe_budget,
+        *,
+        now,
+        random_state,
+        log,
+    ):
         self.board = board
         self.dialect = dialect
         self.asker = asker
         self.make_budget = make_budget
+        self.make_probe_budget = make_probe_budget
         self.now = now
         self.random_state = random_state
         self.log = log
         self.shedding = balancing.SheddingPolicy()
+        # A crash may have another cause than the request, so one crash condemns no
+        # request; three with the same content in a row are no chance.
+        self.quarantine = balancing.QuarantinePolicy(
+            idempotent_crashes=3, non_idempotent_crashes=3, duration=60.0
+        )
+        self.spread_crash = None
+        self._quarantined = {}
+        self._checks = utils.TaskSet()
         self._services = {}
         self._turns = {}
 
@@ -125,6 +150,12 @@
             self.board.counters["no_route"] += 1
             self._refuse(request, request_id, writer, 404)
             return None
+        if self._quarantined and self.quarantine.covers(
+            self._quarantined, fingerprint(request), self.now()
+        ):
+            self.board.counters["quarantined"] += 1
+            self._refuse(request, request_id, writer, 503, RETRY_QUARANTINED)
+            return None
         name = self._next_service(route)
         service = configuration.services[name]
         now = self.now()
@@ -148,7 +179,9 @@
         """Return the :class:`ServiceState` of a service."""
         state = self._services.get(service_name)
         if state is None:
-            state = self._services[service_name] = ServiceState(self.make_budget())
+            state = self._services[service_name] = ServiceState(
+                self.make_budget(), self.make_probe_budget()
+            )
         return state
 
     # Sends.
@@ -290,11 +323,15 @@
 
     async def _find_place(self, call, hedge):
         """Return a place, after a short wait for room if need be."""
-        fullness = self.state(call.service.name).fullness
+        state = self.state(call.service.name)
         hold_until = self.shedding.hold_until(call.route, call.request.arrived)
         while True:
             place = await self.asker.place(
-                call.service, call.tried, call.give_up_at, fullness
+                call.service,
+                call.tried,
+                call.give_up_at,
+                state,
+                heavy=call.route.kind is balancing.RouteKind.DOWNLOAD,
             )
             left = hold_until - self.now()
             if place is not None or hedge or left < self.shedding.pause:
@@ -355,6 +392,8 @@
                 reason=reason.name,
                 after=round(self.now() - now, 4),
             )
+            if reason is _upstream.Failure.RESET:
+                self._checks.start(self._check_crash(call, server), "crash check")
             return Outcome(Verdict.MAY_HAVE_RUN, server=server, reason=reason.name)
         return self._read_answer(call, place, answer, now)
 
@@ -383,6 +422,26 @@
         reason = f"server answered {answer.status}" if failed else ""
         return Outcome(Verdict.RAN, answer, server, connection, reason=reason)
 
+    async def _check_crash(self, call, server):
+        if not await self.asker.has_crashed(server):
+            return
+        mark = fingerprint(call.request)
+        self.log.event(
+            "server-crashed",
+            server=server.identity,
+            request=call.request_id.decode("latin-1"),
+            fingerprint=mark.hex(),
+        )
+        self.observe_crash(mark)
+        if self.spread_crash is not None:
+            self.spread_crash(mark)
+
+    def observe_crash(self, mark):
+        """Count a crash, one's own or another process's, by a request's fingerprint."""
+        now = self.now()
+        if self.quarantine.observe_crash(self._quarantined, mark, True, now):
+            self.log.event("quarantined", fingerprint=mark.hex())
+
     def _observe_failure(self, server):
         server.failures.observe(True, self.now())
 
@@ -438,3 +497,12 @@
         if close:
             request.keep_alive = False
         writer.write(self.dialect.refusal(status, request_id, retry_after, close))
+
+
+def fingerprint(request):
+    """Return what stays the same when a caller sends a request again."""
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (request.method, request.header(b"host") or b"", request.target):
+        digest.update(part + b"\0")
+    digest.update(request.body)
+    return digest.digest()
--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -20,7 +20,7 @@
 LAG_LIMIT = 0.3
 #: Seconds after a change before the next watch, so that several changes in quick
 #: succession cost one call.
-SETTLE = 0.15
+SETTLE = 0.4
 #: Processes in a data centre that watch the store.
 WATCHERS = 1
 
--- a/boragegw/gateway/_membership.py
+++ b/boragegw/gateway/_membership.py
@@ -13,6 +13,12 @@
 SILENCE = 2.0
 #: Seconds for which a process out of sight is counted among those that may be alive.
 MAYBE_ALIVE = 30.0
+#: Seconds after the start in which others may not have been heard yet, and the number
+#: of processes that is assumed until then. Guards against a fleet that starts at once,
+#: as after a power loss: each process would take the whole budget of repeats and the
+#: whole rate of each cold server for its own.
+LEARNING = 2.0
+UNKNOWN_FLEET = 24
 #: Processes to which a heartbeat goes; with more, news spread in a few steps.
 FANOUT = 24
 #: News of other processes in a heartbeat. Where everybody hears everybody, one helps a
@@ -77,14 +83,10 @@
     wants_answer: bool = False
 
 
-class Quarantine(msgspec.Struct, array_like=True, tag="q"):
-    """A request that crashes the backend servers that run it.
-
-    :param seconds: for which it is refused.
-    """
+class Crash(msgspec.Struct, array_like=True, tag="c"):
+    """A backend server crashed while it ran the request with this fingerprint."""
 
     fingerprint: bytes
-    seconds: float
 
 
 class Known:
@@ -112,13 +114,15 @@
         self.now = now
         self.log = log
         self.random_state = random_state or random.Random()
-        self.on_quarantine = None
+        self.on_crash = None
         self.on_change = None
         self._known = {}
+        self._started_at = now()
+        board.processes = UNKNOWN_FLEET
         self._lost_sight = set()
         self._transport = None
         self._encode = msgspec.msgpack.Encoder().encode
-        self._decode = msgspec.msgpack.Decoder(Heartbeat | Quarantine).decode
+        self._decode = msgspec.msgpack.Decoder(Heartbeat | Crash).decode
 
     # Views.
 
@@ -159,9 +163,9 @@
         for member in self.alive():
             self._send(_pair(member.peer), beat)
 
-    def spread_quarantine(self, fingerprint, seconds):
-        """Tell all in sight of a request that crashes backend servers."""
-        datagram = self._encode(Quarantine(fingerprint, seconds))
+    def spread_crash(self, fingerprint):
+        """Tell all in sight that a request has crashed a backend server."""
+        datagram = self._encode(Crash(fingerprint))
         for member in self.alive():
             self._send(_pair(member.peer), datagram)
 
@@ -199,9 +203,9 @@
         except (msgspec.DecodeError, msgspec.ValidationError):
             self.board.counters["datagrams_dropped"] += 1
             return
-        if isinstance(message, Quarantine):
-            if self.on_quarantine is not None:
-                self.on_quarantine(message.fingerprint, message.seconds)
+        if isinstance(message, Crash):
+            if self.on_crash is not None:
+                self.on_crash(message.fingerprint)
             return
         self._take(message.sender, self.now(), direct=True)
         for news in message.news:
@@ -247,12 +251,15 @@
 
     def _changed(self):
         now = self.now()
-        gone = (
+        maybe = (
             1
             for k in self._known.values()
             if k.member.life != Life.LEAVING or now - k.heard_at < SILENCE
         )
-        self.board.processes = 1 + sum(gone)
+        known = 1 + sum(maybe)
+        if now < self._started_at + LEARNING:
+            known = max(known, UNKNOWN_FLEET)
+        self.board.processes = known
         if self.on_change is not None:
             self.on_change()
 
--- a/boragegw/gateway/_process.py
+++ b/boragegw/gateway/_process.py
@@ -38,6 +38,8 @@
     :param seeds: hosts on which other processes may run.
     :param stop_time: seconds from SIGTERM until the process is killed.
     :param weight: what the machine can carry, in relation to others.
+    :param repeat_ratio: see :class:`~boragegw.balancing.RepeatBudget`.
+    :param probe_rate: questions per backend server and second of the whole fleet.
     """
 
     name: str
@@ -50,6 +52,7 @@
     repeat_ratio: float = 0.2
     repeat_window: float = 10.0
     repeat_slack: float = 50.0
+    probe_rate: float = 60.0
 
 
 class Gateway:
@@ -102,7 +105,12 @@
             **drawn,
         )
         self.carrier = _carrier.Carrier(
-            self.board, self.dialect, self.asker, self._make_budget, **drawn
+            self.board,
+            self.dialect,
+            self.asker,
+            self._make_budget,
+            lambda: balancing.ProbeBudget(settings.probe_rate),
+            **drawn,
         )
         self.catalogue = _catalogue.Catalogue(
             self.board, decoder, on_addresses_gone=self.asker.forget, **shared
@@ -124,6 +132,8 @@
         )
         self.directory = _directory.DirectoryPolicy()
         self.catalogue.on_change = self._note_ready
+        self.membership.on_crash = self.carrier.observe_crash
+        self.carrier.spread_crash = self.membership.spread_crash
 
     def _make_budget(self):
         settings = self.settings
--- a/boragegw/gateway/_upstream.py
+++ b/boragegw/gateway/_upstream.py
@@ -323,7 +323,7 @@
             self.discard(connection)
         if self._open >= limit:
             raise ExchangeError(Failure.UNREACHABLE)
-        return await self._connect()
+        return await self.connect()
 
     def sweep(self):
         """Close idle connections that have ended or will end before they are used."""
@@ -333,7 +333,11 @@
                 self._idle.remove(connection)
                 self.discard(connection)
 
-    async def _connect(self):
+    async def connect(self):
+        """Return a new connection.
+
+        :raises ExchangeError: if none can be opened.
+        """
         loop = asyncio.get_running_loop()
         self._open += 1
         try:
--- a/boragegw/platform/_settings.py
+++ b/boragegw/platform/_settings.py
@@ -82,6 +82,7 @@
             weight=self.number("limits.cpu_share", 1.0),
             repeat_ratio=self.number("bounds.retry_budget_ratio", 0.2),
             repeat_window=self.number("bounds.retry_window_s", 10.0),
+            probe_rate=self.number("bounds.probes_per_s", 20.0),
             repeat_slack=self.number("bounds.retry_budget_slack", 20.0),
         )
 
--- a/boragegw/platform/tests/test_path.py
+++ b/boragegw/platform/tests/test_path.py
@@ -299,3 +299,35 @@
         await asyncio.sleep(0.05)
     await stopping
     assert installation.loop.time() > 0
+
+
+@in_memory
+async def test_request_that_crashes_its_servers_is_refused_by_every_process():
+    """A request crashes each backend server that runs it, and its caller sends it
+    again and again, at any process. After the third crash no process passes it on,
+    while other requests are served as before.
+    """
+    installation = await world(gateways=2, backends=8)
+    await asyncio.sleep(2.0)
+    for backend in installation.backends.values():
+        backend.faults.crash_on = b"/poison"
+    for number in range(12):
+        await installation.call("/poison", to=f"gw-{number % 2}")
+        await asyncio.sleep(0.3)
+    assert 3 <= len(installation.runs("/poison")) <= 5
+    await asyncio.sleep(3.0)
+    reply = await installation.call("/poison")
+    assert reply.status == 503
+    assert float(reply.headers["retry-after"]) > 10
+    assert (await installation.call("/other")).status == 200
+
+
+@in_memory
+async def test_large_answers_come_from_the_own_data_centre():
+    installation = await world(
+        backends=6, data_centres=("dc-a", "dc-b"), kind="download"
+    )
+    for number in range(20):
+        assert (await installation.call(f"/{number}")).status == 200
+    far = [installation.backends[f"i-{n}"] for n in (1, 3, 5)]
+    assert sum(len(backend.runs) for backend in far) <= 2
--- a/boragegw/standins/_wire_backend.py
+++ b/boragegw/standins/_wire_backend.py
@@ -18,6 +18,7 @@
     :param extra_late: send each answer once more, before the next one.
     :param truncate: break answers off half way.
     :param healthy: the health check passes.
+    :param crash_on: a request for this target crashes the server for two seconds.
     :param cold_ms: milliseconds for which the health check says it stays cold.
     """
 
@@ -31,6 +32,7 @@
     unframed: bool = False
     healthy: bool = True
     cold_ms: int = 0
+    crash_on: bytes = b""
 
 
 class WireBackend:
@@ -68,6 +70,12 @@
         for connection in list(self._connections):
             connection.transport.abort()
 
+    def crash(self):
+        """Crash and come back after two seconds."""
+        self.stop()
+        loop = asyncio.get_running_loop()
+        self._restart = loop.call_later(2.0, lambda: loop.create_task(self.start()))
+
     def entry(self, service, data_centre="dc-a", state="ready", seq=1, born=1000):
         """Return its entry in the platform's store."""
         host, port = self.address
@@ -149,6 +157,10 @@
         if faults.not_run:
             self._answer(faults.not_run, [*echo, ("x-not-executed", "1")], b"")
             return
+        if faults.crash_on and self.target == faults.crash_on:
+            backend.runs.append((request_id, self.target, self.body))
+            backend.crash()
+            return
         backend.runs.append((request_id, self.target, self.body))
         backend.deadlines[request_id] = int(self.headers.get(b"x-deadline-ms", b"0"))
         try:
