A watch is not left before its answer; ill servers get nothing with few probes; cold servers help

Change: the lag counts from the start of the present watch; no pause after a watch that was left; a single cut watch is no lost store; an ill server is chosen only where all are ill. Besides: cold servers are used within their rate while the warm are full.

Tests: three that failed first (silent watch, cut watch, ill server).

--- a/boragegw/balancing/_asking.py
+++ b/boragegw/balancing/_asking.py
@@ -145,8 +145,7 @@
         ahead = server.own_in_flight
         if report is not None:
             ahead = max(ahead, report.running + report.waiting)
-        limit = slots if slots < KNEE_SLOTS else int(self.fill_share * slots)
-        return ahead < limit
+        return ahead < (slots if slots < KNEE_SLOTS else int(self.fill_share * slots))
 
     def _load_cost(self, server, report):
         """Return the expected time there, in multiples of the usual time.
--- a/boragegw/gateway/_asker.py
+++ b/boragegw/gateway/_asker.py
@@ -47,6 +47,24 @@
     unwell: list = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(slots=True)
+class Search:
+    """What is looked for.
+
+    :param service: :class:`~boragegw.balancing.ServiceSettings`.
+    :param state: the service's :class:`ServiceState`.
+    :param tried: identities of servers that are not asked.
+    :param give_up_at: monotonic seconds.
+    :param heavy: the answer is large, so the own data centre comes first.
+    """
+
+    service: object
+    state: object
+    tried: set
+    give_up_at: float
+    heavy: bool = False
+
+
 class Asker:
     """Finds a place for a request by asking candidates.
 
@@ -66,54 +84,66 @@
         self.log = log
         self._pools = {}
 
-    async def place(self, service, tried, give_up_at, state, heavy=False):
+    async def place(self, search):
         """Return a :class:`Place`, or ``None`` if no server has room.
 
         A service that was full a moment ago is asked less: its answers cost it time.
 
-        :param service: :class:`~boragegw.balancing.ServiceSettings`.
-        :param tried: identities of servers that are not asked.
-        :param give_up_at: monotonic seconds.
-        :param state: the service's :class:`ServiceState`.
-        :param heavy: the answer is large, so the own data centre comes first.
+        :param search: a :class:`Search`.
         """
-        servers = self.board.by_service.get(service.name, ())
+        state = search.state
+        servers = self.board.by_service.get(search.service.name, ())
         now = self.now()
         candidates = balancing.usable(
-            servers, now=now, evacuated=self.board.evacuated, excluded=tried
+            servers, now=now, evacuated=self.board.evacuated, excluded=search.tried
         )
-        if not candidates:
-            candidates = self._cold_candidates(servers, tried, now)
         replies = _Replies()
         questions = set()
         waves = self.policy.waves(
             candidates,
             allowed=state.probes.left(now, len(servers), self.board.processes),
             fullness=state.fullness.share(now),
-            heavy=heavy,
+            heavy=search.heavy,
             now=now,
             random_state=self.random_state,
         )
         try:
             for wave in waves:
                 state.probes.take(len(wave))
-                questions |= {self._start(service, server, heavy) for server in wave}
+                questions |= {self._start(search, server) for server in wave}
                 if await self._collect(questions, replies, WAVE_TIMEOUT):
                     break
-                if self.now() >= give_up_at:
+                if self.now() >= search.give_up_at:
                     break
             if not replies.well and questions:
                 await self._collect(questions, replies, ANSWER_TIMEOUT)
-            place = self._choose(service, replies)
+            place = self._choose(search.service, replies, candidates)
             state.fullness.observe(place is None, self.now())
-            return place
+            return place or await self._place_on_cold(search, servers)
         finally:
             for question in questions:
                 question.add_done_callback(self._release_late)
             self._release_others(replies)
 
+    async def _place_on_cold(self, search, servers):
+        """Return a place on a cold server within the rate that it bears, or ``None``.
+
+        Cold servers help while the warm ones are full: after a data centre's return
+        they bear a third of what a burst asks for.
+        """
+        now = self.now()
+        for server in self._cold_candidates(servers, search.tried, now):
+            if not self._may_warm(search.service, server):
+                continue
+            place = await self._ask(search, server)
+            if place is not None and place.offer.room and server.unwell_until <= now:
+                return place
+            if place is not None:
+                self.pool(server).release(place.connection)
+        return None
+
     def _cold_candidates(self, servers, tried, now):
-        return [
+        candidates = [
             server
             for server in servers
             if not server.leaving
@@ -121,10 +151,11 @@
             and server.listing.data_centre not in self.board.evacuated
             and server.identity not in tried
         ]
+        self.random_state.shuffle(candidates)
+        return candidates
 
-    def _start(self, service, server, heavy):
-        loop = asyncio.get_running_loop()
-        return loop.create_task(self._ask(service, server, heavy))
+    def _start(self, search, server):
+        return asyncio.get_running_loop().create_task(self._ask(search, server))
 
     async def _collect(self, questions, replies, timeout):
         """Take replies until one is quiet; return whether one is."""
@@ -155,8 +186,12 @@
         else:
             replies.well.append(place)
 
-    def _choose(self, service, replies):
-        """Return the best place and remove it from the replies."""
+    def _choose(self, service, replies, candidates):
+        """Return the best place and remove it from the replies.
+
+        A server whose health check fails is chosen only where all of them fail: it
+        may be leaving, and then gets nothing any more.
+        """
         roomy = [place for place in replies.well if place.offer.room]
         if roomy:
             best = min(roomy, key=lambda place: place.offer.cost)
@@ -168,7 +203,8 @@
             if self._may_warm(service, place.server):
                 replies.cold.remove(place)
                 return place
-        if replies.unwell:
+        now = self.now()
+        if replies.unwell and all(s.unwell_until > now for s in candidates):
             best = min(replies.unwell, key=lambda place: place.offer.cost)
             replies.unwell.remove(best)
             return best
@@ -207,8 +243,9 @@
         share = service.max_connections * CONNECTION_SHARE / self.board.processes
         return max(2, int(share))
 
-    async def _ask(self, service, server, heavy):
+    async def _ask(self, search, server):
         """Ask one server; return a :class:`Place` or ``None``."""
+        service = search.service
         pool = self.pool(server)
         try:
             connection = await pool.acquire(self.connection_limit(service))
@@ -239,7 +276,7 @@
             connection = await self._replace(service, server, connection)
             if connection is None:
                 return None
-        return self._judge(server, connection, answer, heavy)
+        return self._judge(search, server, connection, answer)
 
     async def _replace(self, service, server, ended):
         pool = self.pool(server)
@@ -250,7 +287,7 @@
             server.unreachable_until = self.now() + UNREACHABLE_PAUSE
             return None
 
-    def _judge(self, server, connection, answer, heavy):
+    def _judge(self, search, server, connection, answer):
         now = self.now()
         health = self.dialect.read_health(answer, now)
         if health.identity and health.identity != server.identity:
@@ -266,7 +303,8 @@
             server.cold_until = now + health.cold_for
         if not health.healthy:
             server.unwell_until = now + UNWELL_PAUSE
-        return Place(self.policy.judge(server, now, heavy), connection)
+        offer = self.policy.judge(server, now, heavy=search.heavy)
+        return Place(offer, connection)
 
     async def has_crashed(self, server):
         """Return whether nothing listens at the server's address any more."""
--- a/boragegw/gateway/_carrier.py
+++ b/boragegw/gateway/_carrier.py
@@ -6,7 +6,7 @@
 import math
 
 from boragegw import balancing, errors, utils
-from boragegw.gateway import _delivery, _upstream
+from boragegw.gateway import _asker, _delivery, _upstream
 
 Verdict = errors.Verdict
 
@@ -326,13 +326,14 @@
         state = self.state(call.service.name)
         hold_until = self.shedding.hold_until(call.route, call.request.arrived)
         while True:
-            place = await self.asker.place(
+            search = _asker.Search(
                 call.service,
+                state,
                 call.tried,
                 call.give_up_at,
-                state,
                 heavy=call.route.kind is balancing.RouteKind.DOWNLOAD,
             )
+            place = await self.asker.place(search)
             left = hold_until - self.now()
             if place is not None or hedge or left < self.shedding.pause:
                 return place
--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -16,6 +16,10 @@
 #: watch it, and of all others.
 WATCHER_RETRY = 0.4
 OTHERS_RETRY = 1.5
+#: Failures in a row after which the store counts as lost, and the longest pause in
+#: seconds before the second try.
+FAILURES_TO_LOSE = 2
+FIRST_RETRY = 0.05
 #: Seconds for which this process may know less than another one before it reads anew.
 LAG_LIMIT = 0.3
 #: Seconds after a change before the next watch, so that several changes in quick
@@ -51,7 +55,7 @@
         self._following = None
         self._peer = None
         self._failures = 0
-        self._behind_since = math.inf
+        self._watching_since = math.inf
         self._avoided = {}
 
     async def run(self):
@@ -144,6 +148,7 @@
         if self.catalogue.position < 0:
             await self._reread(name)
         self._following = name
+        self._watching_since = self.now()
         self._wake.clear()
         watch = asyncio.ensure_future(source.watch(self.catalogue.position, WATCH_WAIT))
         wake = asyncio.ensure_future(self._wake.wait())
@@ -153,10 +158,11 @@
                 self._take(name, watch.result())
         finally:
             self._following = None
+            self._watching_since = math.inf
             for task in (watch, wake):
                 task.cancel()
             await asyncio.gather(watch, wake, return_exceptions=True)
-        if name is None:
+        if name is None and not self._wake.is_set():
             await asyncio.sleep(SETTLE)
 
     def _take(self, name, reading):
@@ -195,6 +201,10 @@
             self._avoided[name] = self.now() + 2.0
             self.log.event("peer-source-failed", peer=name, reason=str(error))
             return
+        if self._failures < FAILURES_TO_LOSE:
+            # The store cuts waiting watches now and then.
+            await asyncio.sleep(FIRST_RETRY * self.random_state.random())
+            return
         own = self.membership.own
         self.catalogue.trouble_at = self.now()
         if own.reads_store:
@@ -225,12 +235,10 @@
         now = self.now()
         if any(not m.reads_store for m in self.membership.alive()):
             self.catalogue.trouble_at = now
-        if self.membership.latest_revision() <= self.catalogue.position:
-            self._behind_since = math.inf
-        else:
-            self._behind_since = min(self._behind_since, now)
-        if self._behind_since + LAG_LIMIT < now:
-            self._behind_since = math.inf
+        behind = self.membership.latest_revision() > self.catalogue.position
+        # Counted from the start of the present watch: a limit that runs on while a new
+        # watch begins would end that one too, before its answer.
+        if behind and now - self._watching_since > LAG_LIMIT:
             self._leave_source("behind the others")
         elif self._following is not None and not self._still_good(self._following):
             self._leave_source("it no longer watches the store")
--- a/boragegw/platform/tests/test_path.py
+++ b/boragegw/platform/tests/test_path.py
@@ -5,7 +5,9 @@
 
 import pytest
 
-from boragegw import standins
+from boragegw import balancing, standins
+
+STORE = ("store", 1)
 
 
 def in_memory(test):
@@ -331,3 +333,62 @@
         assert (await installation.call(f"/{number}")).status == 200
     far = [installation.backends[f"i-{n}"] for n in (1, 3, 5)]
     assert sum(len(backend.runs) for backend in far) <= 2
+
+
+@in_memory
+async def test_ill_server_gets_no_work_while_few_questions_are_allowed():
+    """A server that leaves fails its health check. With the budget of probes spent, it
+    was the only server asked and got the request, two seconds after it had left.
+    """
+    installation = await world(backends=4, kind="unsafe")
+    installation.backends["i-0"].faults.healthy = False
+    process = installation.processes["gw-0"]
+    process.carrier.state("app").probes = balancing.ProbeBudget(rate=0.0)
+    for number in range(40):
+        await installation.call(f"/{number}", "POST", b"1")
+        await asyncio.sleep(0.05)
+    assert not installation.backends["i-0"].runs
+    assert len(installation.runs()) >= 38
+
+
+@in_memory
+async def test_change_reaches_a_process_whose_watch_went_silent():
+    """One process's watch is silently forgotten while the store drops its history and
+    a configuration changes. It hears from another process that it knows too little.
+    It left its source every 0.4 s, each time just before the store's answer, and
+    served an old configuration for eight seconds.
+    """
+    installation = standins.WireWorld()
+    await installation.start(gateways=2, data_centres=("dc-a", "dc-b"))
+    await asyncio.sleep(3.0)
+    installation.network.delay = 0.04
+    near = [c for c in installation.network.connections if c[0].remote == STORE]
+    for one, other in near:
+        if one.local[0] == "gw-1":
+            one.silent = other.silent = True
+    installation.publish([installation.route("/new/")])
+    installation.store.forget_history()
+    await asyncio.sleep(2.0)
+    assert (await installation.call("/new/1", to="gw-1")).status == 200
+    assert (await installation.call("/old/1", to="gw-1")).status == 404
+
+
+@in_memory
+async def test_watch_that_is_cut_once_does_not_count_as_a_lost_store():
+    """The store cuts waiting watches now and then. Each cut made all processes that
+    follow the watcher look for another source at the same moment.
+    """
+    installation = await world(gateways=3)
+    await asyncio.sleep(3.0)
+    watchers = [p for p in installation.processes.values() if p.own.watches_store]
+    assert len(watchers) == 1
+    for one, _ in installation.network.connections:
+        if one.remote == STORE:
+            one.abort()
+    for _ in range(40):
+        await asyncio.sleep(0.05)
+        assert watchers[0].own.reads_store
+    installation.publish([installation.route("/new/")])
+    await asyncio.sleep(1.0)
+    for name in installation.processes:
+        assert (await installation.call("/new/1", to=name)).status == 200
