--- a/boragegw/gateway/_front.py
+++ b/boragegw/gateway/_front.py
@@ -78,6 +78,7 @@
         self._task = None
         self._timer = None
         self._closing = False
+        self._deaf = False
         self._left = None
         self._can_write = None
         self._reading_paused = False
@@ -94,7 +95,7 @@
 
     def data_received(self, data):
         """Parse what has arrived."""
-        if self._closing:
+        if self._closing or self._deaf:
             return
         if not self._head_done:
             self._head_bytes += len(data)
@@ -105,7 +106,8 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._refuse_now(400)
             return
-        if not self._head_done and self._head_bytes > self.gateway.limits.header_bytes:
+        too_long = self._head_bytes > self.gateway.limits.header_bytes
+        if not self._head_done and not self._deaf and too_long:
             self._refuse_now(431)
 
     def eof_received(self):
@@ -137,38 +139,48 @@
 
     def on_message_begin(self):
         """Start a request."""
+        if self._deaf:
+            return
         self._request = Request(arrived=self.gateway.now(), left=self._left)
         self._head_done = False
 
     def on_url(self, url):
         """Collect the target, which may come in pieces."""
-        self._request.target += url
+        if not self._deaf:
+            self._request.target += url
 
     def on_header(self, name, value):
         """Collect a header."""
-        self._request.headers.append((name.lower(), value))
+        if not self._deaf:
+            self._request.headers.append((name.lower(), value))
 
     def on_headers_complete(self):
         """Check the head before any of the body is taken."""
+        if self._deaf:
+            return
         request = self._request
         request.method = self._parser.get_method()
         request.keep_alive = self._parser.should_keep_alive()
         self._head_done = True
         self._arm(self.gateway.limits.idle_timeout, self._on_slow_body)
-        request.refused = _head_fault(request, self.gateway.limits)
-        if not request.refused and request.header(b"expect") is not None:
+        # The parser stops behind a request that changes the protocol.
+        fault = 400 if self._parser.should_upgrade() else 0
+        fault = fault or _head_fault(request, self.gateway.limits)
+        if fault:
+            self._refuse_now(fault)
+        elif request.header(b"expect") is not None:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data):
         """Collect the body within the limits."""
-        request = self._request
-        if request.refused:
+        if self._deaf:
             return
+        request = self._request
         memory = self.gateway.body_memory
         if len(request.body) + len(data) > self.gateway.limits.body_bytes:
-            self._drop_body(request, 413)
+            self._refuse_now(413)
         elif memory.held + len(data) > memory.limit:
-            self._drop_body(request, 503)
+            self._refuse_now(503)
         else:
             memory.held += len(data)
             request.body += data
@@ -176,6 +188,8 @@
 
     def on_message_complete(self):
         """Serve the request, or queue it behind the one in progress."""
+        if self._deaf:
+            return
         request, self._request = self._request, None
         self._head_done = False
         self._head_bytes = 0
@@ -222,12 +236,11 @@
             self.gateway.body_memory.held -= len(request.body)
         self._waiting.clear()
         if self._request is not None:
-            self._drop_body(self._request, 408)
+            self._drop_body(self._request)
 
-    def _drop_body(self, request, status):
+    def _drop_body(self, request):
         self.gateway.body_memory.held -= len(request.body)
         request.body = bytearray()
-        request.refused = status
 
     # Writing.
 
@@ -242,10 +255,20 @@
             await self._can_write
 
     def close(self):
-        """Close after what was written has been sent."""
-        if not self._closing:
-            self._closing = True
+        """Close after what was written has been sent.
+
+        Guards against a refusal that is lost: the caller may still be sending, and
+        closing with unread bytes resets the connection before it has read the
+        refusal. What still comes is read and dropped for a moment.
+        """
+        if self._closing:
+            return
+        self._closing = True
+        if not self._deaf or not self._transport.can_write_eof():
             self._transport.close()
+            return
+        self._transport.write_eof()
+        self._arm(LINGER, self._transport.close)
 
     def abort(self):
         """Break off, so that a half answer cannot look complete."""
@@ -280,16 +303,15 @@
         self._refuse_now(408)
 
     def _refuse_now(self, status):
-        """Refuse the request that is being read and close.
+        """Refuse the request that is being read at once, take no more, and close.
 
         The requests before it are still served; a refusal in their place would
         belong to another request.
         """
         request = self._request or Request(arrived=self.gateway.now(), left=self._left)
-        if self._request is not None:
-            self.gateway.body_memory.held -= len(request.body)
-            request.body = bytearray()
+        self._drop_body(request)
         self._request = None
+        self._deaf = True
         self._disarm()
         request.refused = status
         request.keep_alive = False
--- a/boragegw/standins/_memory_network.py
+++ b/boragegw/standins/_memory_network.py
@@ -56,6 +56,15 @@
         if not self._closing:
             self._deliver("data", bytes(data))
 
+    def can_write_eof(self):
+        """Return whether one direction can be ended alone."""
+        return True
+
+    def write_eof(self):
+        """End this direction; the other one stays open."""
+        if not self._closing:
+            self._deliver("eof", None)
+
     def close(self):
         """Close in order: what was written arrives before the end."""
         if not self._closing:
