After a cut watch everything is read anew; watches begin short; an error after 410 ends nothing

Ruled out: a silent connection (a log of all calls shows cut, new watch 50 ms later, no answer).

Change: any failed read is followed by a full one; a watch waits 1 s at first and doubles up to 20 s; 410 leads to the same path, whose errors are handled.

Tests: two that failed first.

--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -6,9 +6,12 @@
 from boragegw import utils
 from boragegw.gateway import _knowledge, _membership
 
-#: Seconds that a watch waits for a change. Calls to the store are scarce; a silent
-#: connection is found by keep-alive probes and by the others' revisions.
-WATCH_WAIT = 20.0
+#: Seconds that a watch waits for a change: at first, and at most after it has doubled
+#: with each one that ended well. Calls to the store are scarce, and a silent connection
+#: is found by keep-alive probes and by the others' revisions; but right after trouble
+#: a watch may hear nothing at all, and nobody else may know more.
+FIRST_WATCH_WAIT = 1.0
+LONGEST_WATCH_WAIT = 20.0
 #: Seconds that one read may take; the store answers in 4 ms, a hundred times slower
 #: on bad days.
 READ_TIMEOUT = 1.0
@@ -56,6 +59,8 @@
         self._peer = None
         self._failures = 0
         self._watching_since = math.inf
+        self._wait = FIRST_WATCH_WAIT
+        self._must_reread = True
         self._avoided = {}
 
     async def run(self):
@@ -68,7 +73,7 @@
                 self.log.event(
                     "history-lost", source=name or "store", detail=str(error)
                 )
-                await self._reread(name)
+                self._must_reread = True
             except _knowledge.SourceError as error:
                 await self._failed(name, error)
 
@@ -145,12 +150,12 @@
 
     async def _read(self, name):
         source = self._source(name)
-        if self.catalogue.position < 0:
+        if self._must_reread:
             await self._reread(name)
         self._following = name
         self._watching_since = self.now()
         self._wake.clear()
-        watch = asyncio.ensure_future(source.watch(self.catalogue.position, WATCH_WAIT))
+        watch = asyncio.ensure_future(source.watch(self.catalogue.position, self._wait))
         wake = asyncio.ensure_future(self._wake.wait())
         try:
             await asyncio.wait((watch, wake), return_when=asyncio.FIRST_COMPLETED)
@@ -167,6 +172,7 @@
 
     def _take(self, name, reading):
         self._succeeded(name)
+        self._wait = min(2 * self._wait, LONGEST_WATCH_WAIT)
         self.catalogue.adopt_changes(reading)
         self._note_revision()
 
@@ -177,6 +183,8 @@
         except TimeoutError as error:
             raise _knowledge.SourceError("no answer in time") from error
         self._succeeded(name)
+        self._must_reread = False
+        self._wait = FIRST_WATCH_WAIT
         self.catalogue.adopt_snapshot(reading)
         self._note_revision()
 
@@ -196,14 +204,19 @@
             self.membership.announce()
 
     async def _failed(self, name, error):
+        """Note a failed read.
+
+        A watch that was cut may have missed changes, and the next one may not hear of
+        them either while the store is dropping its history: only a full read tells.
+        """
         self._failures += 1
+        self._must_reread = True
         if name is not None:
             self._avoided[name] = self.now() + 2.0
             self.log.event("peer-source-failed", peer=name, reason=str(error))
-            return
-        if self._failures < FAILURES_TO_LOSE:
-            # The store cuts waiting watches now and then.
-            await asyncio.sleep(FIRST_RETRY * self.random_state.random())
+        if name is not None or self._failures < FAILURES_TO_LOSE:
+            # Watches are cut now and then; one failure says nothing of the store.
+            await asyncio.sleep(FIRST_RETRY * (0.5 + 0.5 * self.random_state.random()))
             return
         own = self.membership.own
         self.catalogue.trouble_at = self.now()
--- a/boragegw/platform/_endpoints.py
+++ b/boragegw/platform/_endpoints.py
@@ -9,6 +9,9 @@
 #: as long, and an ended process must be forgotten within six seconds.
 KEEP_FOR = 1.5
 
+#: Seconds below which a watch does not wait any longer.
+LEAST_WAIT = 0.001
+
 NOT_FOUND = gateway.Reply(404)
 
 
@@ -104,7 +107,7 @@
             except gateway.HistoryLostError:
                 return gateway.Reply(410)
             left = end - self.process.now()
-            if reading.records or left <= 0:
+            if reading.records or left < LEAST_WAIT:
                 break
             await self.process.catalogue.wait_for_change(left)
         events = [_store.wire_item(record) for record in reading.records]
--- a/boragegw/platform/tests/test_path.py
+++ b/boragegw/platform/tests/test_path.py
@@ -392,3 +392,51 @@
     await asyncio.sleep(1.0)
     for name in installation.processes:
         assert (await installation.call("/new/1", to=name)).status == 200
+        assert (await installation.call("/old/1", to=name)).status == 404
+
+
+@in_memory
+async def test_change_that_no_watch_hears_is_in_force_within_seconds():
+    """The store drops its history: for a second no watch hears anything, a
+    configuration changes meanwhile, then all watches are cut. One that begins anew at
+    that moment is as deaf, and no process knows more than another. The old
+    configuration was served for four seconds more.
+    """
+    installation = await world(gateways=3)
+    await asyncio.sleep(30.0)
+    installation.store.deaf = True
+    for one, other in installation.network.connections:
+        if one.remote == STORE:
+            one.silent = other.silent = True
+    installation.publish([installation.route("/new/")])
+    await asyncio.sleep(1.0)
+    installation.store.forget_history()
+    for one, other in installation.network.connections:
+        if one.remote == STORE:
+            one.silent = other.silent = False
+            one.break_off()
+    await asyncio.sleep(0.2)
+    installation.store.deaf = False
+    await asyncio.sleep(1.5)
+    for name in installation.processes:
+        assert (await installation.call("/new/1", to=name)).status == 200
+        assert (await installation.call("/old/1", to=name)).status == 404
+
+
+@in_memory
+async def test_store_that_fails_right_after_it_lost_its_history_ends_no_process():
+    """The store answers a watch with 410 and the full read that follows with 503. The
+    error of the second read ended the process.
+    """
+    installation = await world()
+    installation.store.forget_history()
+    await installation.add_backend("i-8")
+    installation.store.forget_history()
+    for _ in range(400):
+        installation.store.status = None if installation.store.status else 503
+        await asyncio.sleep(0.013)
+    installation.store.status = None
+    installation.publish([installation.route("/new/")])
+    await asyncio.sleep(3.0)
+    assert (await installation.call("/new/1")).status == 200
+    assert (await installation.call("/old/1")).status == 404
--- a/boragegw/standins/_wire_store.py
+++ b/boragegw/standins/_wire_store.py
@@ -14,6 +14,7 @@
     :param page: items in a page.
     :param status: answers each call with this status instead, if set.
     :param hang: answers nothing while set.
+    :param deaf: watches that begin while set hear nothing until their time is over.
     """
 
     def __init__(self, address=("store", 1), page=500):
@@ -21,6 +22,7 @@
         self.page = page
         self.status = None
         self.hang = False
+        self.deaf = False
         self.calls = 0
         self.revision = 0
         self.history_from = 0
@@ -86,12 +88,14 @@
         after = int(query["after"])
         loop = asyncio.get_running_loop()
         end = loop.time() + int(query.get("wait_ms", "0")) / 1000
+        if self.deaf:
+            await asyncio.sleep(max(0.0, end - loop.time()))
         while True:
             if after < self.history_from:
                 return gateway.Reply(410)
             events = [e for e in self._events if e["rev"] > after]
             left = end - loop.time()
-            if events or left <= 0:
+            if events or left < 0.001:
                 return _json({"events": events, "as_of": self.revision})
             changed = asyncio.ensure_future(self._changed.wait())
             await asyncio.wait((changed,), timeout=left)
