Carrier split into call, sender and carrier; counters under documented names; defects noted

Change: _call.py (types), _sender.py (one send), _carrier.py (admission, repeats, end). Behaviour is the same but for the noted defect, which now breaks the connection.

--- a/boragegw/gateway/__init__.py
+++ b/boragegw/gateway/__init__.py
@@ -2,7 +2,8 @@
 
 from boragegw.gateway._asker import Asker, Place
 from boragegw.gateway._board import Board
-from boragegw.gateway._carrier import Call, Carrier, Outcome
+from boragegw.gateway._call import Call, Outcome, ServiceState, fingerprint
+from boragegw.gateway._carrier import Carrier
 from boragegw.gateway._catalogue import Catalogue
 from boragegw.gateway._dialect import Dialect, HealthAnswer
 from boragegw.gateway._directory import DirectoryPolicy
@@ -20,6 +21,7 @@
 )
 from boragegw.gateway._membership import Life, Member, Membership
 from boragegw.gateway._process import Gateway, GatewaySettings
+from boragegw.gateway._sender import Sender
 from boragegw.gateway._upstream import Answer, Connection, ExchangeError, Failure, Pool
 
 __all__ = [
@@ -54,6 +56,9 @@
     "Record",
     "Reply",
     "Request",
+    "Sender",
+    "ServiceState",
     "Source",
     "SourceError",
+    "fingerprint",
 ]
--- a/boragegw/gateway/_asker.py
+++ b/boragegw/gateway/_asker.py
@@ -252,7 +252,7 @@
         except _upstream.ExchangeError:
             server.unreachable_until = self.now() + UNREACHABLE_PAUSE
             return None
-        self.board.counters["probes"] += 1
+        self.board.counters["probes.sent"] += 1
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT):
                 question = self.dialect.health_question(service, server)
--- /dev/null
+++ b/boragegw/gateway/_call.py
@@ -0,0 +1,83 @@
+"""One request on its way, how its sends end, and what is known of its service."""
+
+import dataclasses
+import hashlib
+
+from boragegw import balancing, errors
+
+Verdict = errors.Verdict
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Call:
+    """One request on its way.
+
+    :param state: the service's :class:`ServiceState`.
+    :param give_up_at: monotonic seconds at which it gets its final answer.
+    :param tried: identities of the servers that it was sent to.
+    :param sends: times it was sent.
+    :param may_have_run: a send ended without proof that it did not run.
+    """
+
+    request: object
+    request_id: bytes
+    route: balancing.Route
+    service: balancing.ServiceSettings
+    state: object
+    give_up_at: float
+    tried: set = dataclasses.field(default_factory=set)
+    sends: int = 0
+    may_have_run: bool = False
+    spare_answer: object = None
+    reason: str = ""
+
+    @property
+    def idempotent(self):
+        """Whether it may run more than once."""
+        return self.route.kind.idempotent
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Outcome:
+    """How one send ended.
+
+    :param verdict: whether the request may have run there.
+    :param answer: the backend server's answer, whole or large enough to pass on.
+    :param connection: still carries the answer if that is not whole.
+    :param placed: whether a backend server was found at all.
+    """
+
+    verdict: Verdict
+    answer: object = None
+    server: object = None
+    connection: object = None
+    placed: bool = True
+    reason: str = ""
+
+    @property
+    def good(self):
+        """Whether the answer can go to the caller as it is, with nothing to gain."""
+        return self.answer is not None and self.answer.status < 500
+
+
+class ServiceState:
+    """What this process has learned of one service.
+
+    :param budget: a :class:`~boragegw.balancing.RepeatBudget`.
+    :param probes: a :class:`~boragegw.balancing.ProbeBudget`.
+    """
+
+    def __init__(self, budget, probes):
+        self.budget = budget
+        self.probes = probes
+        self.hedging = balancing.AgeHedgePolicy()
+        self.fullness = balancing.Fullness()
+
+
+def fingerprint(request):
+    """Return what stays the same when a caller sends a request again."""
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (request.method, request.header(b"host") or b"", request.target):
+        digest.update(part + b"\0")
+    digest.update(request.body)
+    return digest.digest()
--- a/boragegw/gateway/_endpoint.py
+++ b/boragegw/gateway/_endpoint.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import dataclasses
+import logging
 
 from boragegw import balancing
 from boragegw.gateway import _front
 
+logger = logging.getLogger(__name__)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
@@ -42,6 +45,10 @@
         reply = await self.handler(request)
         writer.write(_bytes(reply, request.keep_alive))
 
+    def note_error(self, error):
+        """Log an error of the handler."""
+        logger.error("endpoint failed", exc_info=error)
+
     def refusal(self, status, request):
         """Return the answer to a request that was not accepted."""
         return _bytes(Reply(status), False)
--- a/boragegw/gateway/_front.py
+++ b/boragegw/gateway/_front.py
@@ -63,7 +63,8 @@
     """One connection of a caller.
 
     :param gateway: has ``now``, ``limits``, ``stopping``, ``body_memory``,
-        ``refusal(status, request)`` and the coroutine ``serve(request, writer)``.
+        ``refusal(status, request)``, ``note_error(error)`` and the coroutine
+        ``serve(request, writer)``.
     """
 
     def __init__(self, gateway):
@@ -220,6 +221,10 @@
                 self.write(self.gateway.refusal(request.refused, request))
             else:
                 await self.gateway.serve(request, self)
+        except Exception as error:
+            # A defect here must show as a broken connection, never as silence.
+            self.gateway.note_error(error)
+            self.abort()
         finally:
             self.gateway.body_memory.held -= len(request.body)
             self._task = None
--- a/boragegw/gateway/_membership.py
+++ b/boragegw/gateway/_membership.py
@@ -191,7 +191,7 @@
 
     def _send(self, address, datagram):
         if self._transport is not None and not self._transport.is_closing():
-            self.board.counters["heartbeats_sent"] += 1
+            self.board.counters["peers.datagrams_sent"] += 1
             self._transport.sendto(datagram, address)
 
     # Receiving.
@@ -201,7 +201,7 @@
         try:
             message = self._decode(data)
         except (msgspec.DecodeError, msgspec.ValidationError):
-            self.board.counters["datagrams_dropped"] += 1
+            self.board.counters["peers.datagrams_dropped"] += 1
             return
         if isinstance(message, Crash):
             if self.on_crash is not None:
@@ -216,7 +216,7 @@
 
     def error_received(self, exc):
         """Count an ICMP error; the next heartbeat goes out all the same."""
-        self.board.counters["send_errors"] += 1
+        self.board.counters["peers.send_errors"] += 1
 
     def _take(self, member, heard_at, direct):
         """Adopt what is newer than what is known.
--- a/boragegw/gateway/_process.py
+++ b/boragegw/gateway/_process.py
@@ -132,8 +132,8 @@
         )
         self.directory = _directory.DirectoryPolicy()
         self.catalogue.on_change = self._note_ready
-        self.membership.on_crash = self.carrier.observe_crash
-        self.carrier.spread_crash = self.membership.spread_crash
+        self.membership.on_crash = self.carrier.sender.observe_crash
+        self.carrier.sender.spread_crash = self.membership.spread_crash
 
     def _make_budget(self):
         settings = self.settings
@@ -167,6 +167,11 @@
         request_id = self.dialect.request_id(request.headers)
         return self.dialect.refusal(status, request_id, None, True)
 
+    def note_error(self, error):
+        """Log an error that ended a request without an answer."""
+        self.board.counters["requests.defects"] += 1
+        self.log.event("request-defect", error=repr(error))
+
     # Life.
 
     async def start(self):
--- /dev/null
+++ b/boragegw/gateway/_sender.py
@@ -0,0 +1,221 @@
+"""Sends a request once: finds a place, exchanges, and judges the answer."""
+
+import asyncio
+
+from boragegw import balancing, errors, utils
+from boragegw.gateway import _asker, _call, _delivery, _upstream
+
+Verdict = errors.Verdict
+
+#: Seconds that must be left for a send to make sense.
+LEAST_TIME = 0.02
+#: Seconds after the final answer at which a send that nobody cancelled ends.
+OVERTIME = 0.05
+#: Times that a request is placed anew because its place was lost before the send.
+PLACINGS = 3
+#: Share of the expected time that must be left: the expectation is a median, and half
+#: of the requests take less.
+LEAST_SHARE = 0.7
+
+
+class Sender:
+    """Sends requests to backend servers and learns from how that ends.
+
+    :param board: the :class:`Board`.
+    :param dialect: a :class:`Dialect`.
+    :param asker: an :class:`Asker`.
+    :param shedding: a :class:`~boragegw.balancing.SheddingPolicy`.
+    """
+
+    def __init__(self, board, dialect, asker, shedding, *, now, log):
+        self.board = board
+        self.dialect = dialect
+        self.asker = asker
+        self.shedding = shedding
+        self.now = now
+        self.log = log
+        # A crash may have another cause than the request, so one crash condemns no
+        # request; three with the same content in a row are no chance.
+        self.quarantine = balancing.QuarantinePolicy(
+            idempotent_crashes=3, non_idempotent_crashes=3, duration=60.0
+        )
+        self.spread_crash = None
+        self._quarantined = {}
+        self._checks = utils.TaskSet()
+
+    def is_quarantined(self, request):
+        """Return whether the request has crashed the backend servers that ran it."""
+        if not self._quarantined:
+            return False
+        mark = _call.fingerprint(request)
+        return self.quarantine.covers(self._quarantined, mark, self.now())
+
+    async def send(self, call, hedge=False):
+        """Place the request and send it; return an :class:`Outcome`.
+
+        :param call: a :class:`Call`.
+        :param hedge: another send of the request is still running.
+        """
+        for _ in range(PLACINGS):
+            place = await self._find_place(call, hedge)
+            if place is None:
+                return _call.Outcome(Verdict.NOT_RUN, placed=False, reason="no room")
+            server = place.server
+            pool = self.asker.pool(server)
+            now = self.now()
+            refusal = self._refusal(call, place, now, hedge)
+            if refusal:
+                pool.release(place.connection)
+                return _call.Outcome(Verdict.NOT_RUN, placed=False, reason=refusal)
+            if self._still_fits(call, place):
+                break
+            pool.release(place.connection)
+        else:
+            return _call.Outcome(
+                Verdict.NOT_RUN, placed=False, reason="places were lost"
+            )
+        call.tried.add(server.identity)
+        call.sends += 1
+        self.board.counters["attempts.sent"] += 1
+        server.own_in_flight += 1
+        try:
+            outcome = await self._exchange(call, place, now)
+        except asyncio.CancelledError:
+            pool.discard(place.connection)
+            raise
+        finally:
+            server.own_in_flight -= 1
+        if outcome.connection is None:
+            pool.release(place.connection)
+        return outcome
+
+    async def _find_place(self, call, hedge):
+        """Return a place, after a short wait for room if need be."""
+        state = call.state
+        hold_until = self.shedding.hold_until(call.route, call.request.arrived)
+        while True:
+            search = _asker.Search(
+                call.service,
+                state,
+                call.tried,
+                call.give_up_at,
+                heavy=call.route.kind is balancing.RouteKind.DOWNLOAD,
+            )
+            place = await self.asker.place(search)
+            left = hold_until - self.now()
+            if place is not None or hedge or left < self.shedding.pause:
+                return place
+            await asyncio.sleep(self.shedding.pause)
+
+    def _still_fits(self, call, place):
+        """Return whether the place is still one, right before the send.
+
+        While servers were asked, the chosen one may have been drained or evacuated,
+        or a hedge may have gone to it; or its connection has ended, in which case
+        nothing was written and nothing can have run.
+        """
+        server = place.server
+        return not (
+            server.leaving
+            or server.listing.data_centre in self.board.evacuated
+            or server.identity in call.tried
+            or not place.connection.reusable
+        )
+
+    def _refusal(self, call, place, now, hedge):
+        """Return why the request is not to be sent at all, or ""."""
+        if call.request.caller_gone:
+            return "caller left"
+        left = call.give_up_at - now
+        if left < LEAST_TIME:
+            return "no time left"
+        if hedge and not place.offer.quiet:
+            return "no quiet server for a hedge"
+        usual = call.state.hedging.usual
+        if LEAST_SHARE * balancing.expected_wait(place.offer, usual) > left:
+            return "servers are full"
+        return ""
+
+    async def _exchange(self, call, place, now):
+        """Send on a connection that has just answered; read the answer."""
+        server = place.server
+        left = call.give_up_at - now
+        head = self.dialect.request_head(call.request, server, left)
+        connection = place.connection
+        try:
+            async with asyncio.timeout(left + OVERTIME):
+                answer = await connection.start(
+                    head + bytes(call.request.body),
+                    lambda a: self.dialect.answers_request(a, call.request_id),
+                    without_body=call.request.method == b"HEAD",
+                )
+                await _delivery.gather(answer)
+        except (_upstream.ExchangeError, TimeoutError) as error:
+            connection.abort()
+            self._observe_failure(server)
+            reason = getattr(error, "failure", _upstream.Failure.TIMEOUT)
+            self.log.event(
+                "send-failed",
+                request=call.request_id.decode("latin-1"),
+                server=server.identity,
+                reason=reason.name,
+                after=round(self.now() - now, 4),
+            )
+            if reason is _upstream.Failure.RESET:
+                self._checks.start(self._check_crash(call, server), "crash check")
+            return _call.Outcome(
+                Verdict.MAY_HAVE_RUN, server=server, reason=reason.name
+            )
+        return self._read_answer(call, place, answer, now)
+
+    def _read_answer(self, call, place, answer, started):
+        now = self.now()
+        server = place.server
+        report = self.dialect.read_report(answer, now)
+        if report is not None:
+            server.report = report
+        if self.dialect.is_not_run(answer):
+            if self.dialect.is_other_server(answer):
+                server.moved = True
+            self._observe_failure(server)
+            if not answer.complete:
+                place.connection.abort()
+            return _call.Outcome(
+                Verdict.NOT_RUN, server=server, reason="server refused"
+            )
+        if not self.dialect.is_authentic(answer):
+            place.connection.abort()
+            self._observe_failure(server)
+            return _call.Outcome(
+                Verdict.MAY_HAVE_RUN, server=server, reason="not signed"
+            )
+        failed = answer.status >= 500
+        server.failures.observe(failed, now)
+        if not failed:
+            call.state.hedging.observe(now - started)
+        connection = None if answer.complete else place.connection
+        reason = f"server answered {answer.status}" if failed else ""
+        return _call.Outcome(Verdict.RAN, answer, server, connection, reason=reason)
+
+    async def _check_crash(self, call, server):
+        if not await self.asker.has_crashed(server):
+            return
+        mark = _call.fingerprint(call.request)
+        self.log.event(
+            "server-crashed",
+            server=server.identity,
+            request=call.request_id.decode("latin-1"),
+            fingerprint=mark.hex(),
+        )
+        self.observe_crash(mark)
+        if self.spread_crash is not None:
+            self.spread_crash(mark)
+
+    def observe_crash(self, mark):
+        """Count a crash, one's own or another process's, by a request's fingerprint."""
+        now = self.now()
+        if self.quarantine.observe_crash(self._quarantined, mark, True, now):
+            self.log.event("quarantined", fingerprint=mark.hex())
+
+    def _observe_failure(self, server):
+        server.failures.observe(True, self.now())
--- a/boragegw/gateway/tests/test_front.py
+++ b/boragegw/gateway/tests/test_front.py
@@ -61,6 +61,9 @@
     def now(self):
         return asyncio.get_running_loop().time()
 
+    def note_error(self, error):
+        raise error
+
     def refusal(self, status, request):
         return b"HTTP/1.1 %d Refused\r\ncontent-length: 0\r\n\r\n" % status
 
@@ -276,3 +279,17 @@
     connection.connection_lost(None)
     await asyncio.sleep(0.1)
     return process
+
+
+@in_virtual_time
+async def test_defect_breaks_the_connection_and_is_noted():
+    """An error of the process itself must not leave a caller waiting in silence."""
+    process = Process()
+    noted = []
+    process.note_error = noted.append
+    process.serve = None
+    connection, transport = connect(process)
+    connection.data_received(HEAD + b"\r\n")
+    await asyncio.sleep(0.1)
+    assert transport.aborted
+    assert [type(error) for error in noted] == [TypeError]
--- a/boragegw/operations/_metrics.py
+++ b/boragegw/operations/_metrics.py
@@ -5,6 +5,11 @@
 METRICS = {
     "requests.answered": "requests that ended with a backend server's answer",
     "requests.refused.*": "requests refused, by error code",
+    "requests.failed.*": "requests that the gateway ended itself, by status",
+    "requests.no_route": "requests that no route of the configuration matches",
+    "requests.defects": "requests that an error of the gateway itself ended",
+    "store.calls": "calls to the platform's store, a watch as one",
+    "store.peer_reads": "reads from a process that watches the store",
     "requests.forwarded": "non-idempotent requests forwarded to their home",
     "requests.hedged": "second attempts of slow idempotent requests",
     "requests.retried": "attempts after a failed one",
--- a/boragegw/platform/_process.py
+++ b/boragegw/platform/_process.py
@@ -24,13 +24,15 @@
 
     def peer_source(address):
         host, _, port = address.rpartition(":")
-        return _store.StoreClient((host, int(port)), now, board.counters, "peer_reads")
+        return _store.StoreClient(
+            (host, int(port)), now, board.counters, "store.peer_reads"
+        )
 
     return gateway.Gateway(
         settings.gateway,
         _dialect.PlatformDialect(),
         _documents.DocumentDecoder(log),
-        _store.StoreClient(settings.store, now, board.counters, "store_calls"),
+        _store.StoreClient(settings.store, now, board.counters, "store.calls"),
         peer_source,
         board=board,
         log=log,
--- a/boragegw/platform/_store.py
+++ b/boragegw/platform/_store.py
@@ -51,7 +51,7 @@
     :param counter: name under which calls are counted.
     """
 
-    def __init__(self, address, now, counters, counter="store_calls"):
+    def __init__(self, address, now, counters, counter="store.calls"):
         self.address = address
         self.counter = counter
         self.now = now
