--- a/boragegw/gateway/_call.py
+++ b/boragegw/gateway/_call.py
@@ -8,6 +8,23 @@
 Verdict = errors.Verdict
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendRecord:
+    """Why a request was sent where it was, for the log.
+
+    :param cost: expected time there, in multiples of the usual time.
+    :param slowness: of the server's report, ``None`` if it gives none.
+    :param load: requests that the server held by its report.
+    :param after: seconds since the request arrived.
+    """
+
+    server: str
+    cost: float
+    slowness: float | None
+    load: int | None
+    after: float
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Call:
     """One request on its way.
@@ -16,6 +33,7 @@
     :param give_up_at: monotonic seconds at which it gets its final answer.
     :param tried: identities of the servers that it was sent to.
     :param sends: times it was sent.
+    :param records: a :class:`SendRecord` of each send.
     :param may_have_run: a send ended without proof that it did not run.
     """
 
@@ -27,6 +45,7 @@
     give_up_at: float
     tried: set = dataclasses.field(default_factory=set)
     sends: int = 0
+    records: list = dataclasses.field(default_factory=list)
     may_have_run: bool = False
     spare_answer: object = None
     reason: str = ""
--- a/boragegw/gateway/_carrier.py
+++ b/boragegw/gateway/_carrier.py
@@ -230,6 +230,7 @@
             return
         if outcome is not None:
             self.board.counters["requests.answered"] += 1
+            self._note_late(call, outcome)
             await _delivery.deliver(
                 request, outcome.answer, writer, closing=self.board.stopping
             )
@@ -238,6 +239,25 @@
             return
         self._answer_failure(call, writer)
 
+    def _note_late(self, call, outcome):
+        """Log an answer that comes after the route's target latency."""
+        after = self.now() - call.request.arrived
+        if after <= call.route.target_latency:
+            return
+        self.board.counters["requests.late"] += 1
+        self.log.event(
+            "answered-late",
+            request=call.request_id.decode("latin-1"),
+            route=call.route.name,
+            service=call.service.name,
+            status=outcome.answer.status,
+            server=outcome.server.identity,
+            sent=call.records,
+            after=round(after, 4),
+            target=call.route.target_latency,
+            version=self.board.configuration.version,
+        )
+
     def _answer_failure(self, call, writer):
         now = self.now()
         status = self._failure_status(call, now)
@@ -252,7 +272,9 @@
             service=call.service.name,
             status=status,
             reason=call.reason or "no answer in time",
-            sends=call.sends,
+            sent=call.records,
+            full=round(call.state.fullness.share(now), 2),
+            servers=len(self.board.by_service.get(call.service.name, ())),
             after=round(now - call.request.arrived, 4),
             version=self.board.configuration.version,
         )
--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -76,6 +76,7 @@
             )
         call.tried.add(server.identity)
         call.sends += 1
+        call.records.append(_record(call, place, now))
         self.board.counters["attempts.sent"] += 1
         server.own_in_flight += 1
         try:
@@ -219,3 +220,14 @@
 
     def _observe_failure(self, server):
         server.failures.observe(True, self.now())
+
+
+def _record(call, place, now):
+    report = place.server.report
+    return _call.SendRecord(
+        server=place.server.identity,
+        cost=round(place.offer.cost, 2),
+        slowness=None if report is None else report.slowness,
+        load=None if report is None else report.running + report.waiting,
+        after=round(now - call.request.arrived, 4),
+    )
--- a/boragegw/operations/_metrics.py
+++ b/boragegw/operations/_metrics.py
@@ -6,6 +6,7 @@
     "requests.answered": "requests that ended with a backend server's answer",
     "requests.refused.*": "requests refused, by error code",
     "requests.failed.*": "requests that the gateway ended itself, by status",
+    "requests.late": "answers that came after their route's target latency",
     "requests.no_route": "requests that no route of the configuration matches",
     "requests.defects": "requests that an error of the gateway itself ended",
     "store.calls": "calls to the platform's store, a watch as one",
--- a/boragegw/platform/tests/test_path.py
+++ b/boragegw/platform/tests/test_path.py
@@ -440,3 +440,28 @@
     await asyncio.sleep(3.0)
     assert (await installation.call("/new/1")).status == 200
     assert (await installation.call("/old/1")).status == 404
+
+
+@in_memory
+async def test_late_and_failed_requests_are_explained_in_the_log():
+    """An engineer has a request's id and the logs, and asks why it was late or failed:
+    which servers were chosen, by what report, when, and how each send ended.
+    """
+    installation = await world(kind="unsafe", backends=2)
+    events = []
+    log = installation.processes["gw-0"].log
+    log.event = lambda kind, **fields: events.append((kind, fields))
+    for backend in installation.backends.values():
+        backend.work = 0.8
+    await installation.call("/slow", "POST", b"1")
+    for backend in installation.backends.values():
+        backend.faults.reset_after_run = True
+    await installation.call("/lost", "POST", b"1")
+    found = dict(events)
+    late, failed = found["answered-late"], found["request-failed"]
+    assert late["request"] == "id-1"
+    assert late["sent"][0].server in installation.backends
+    assert late["after"] > late["target"] == 0.5
+    assert failed["request"] == found["send-failed"]["request"] == "id-2"
+    assert failed["status"] == 502
+    assert found["send-failed"]["reason"] == "RESET"
