--- a/boragegw/gateway/_events.py
+++ b/boragegw/gateway/_events.py
@@ -60,6 +60,9 @@
         row["event"] = kind
         row.update(fields)
         line = self._encode(row) + b"\n"
+        if len(self._backlog) + len(line) > BACKLOG_BYTES:
+            # The reader may have come back: without a try here it never would.
+            self.flush()
         if len(self._backlog) + len(line) > BACKLOG_BYTES:
             self._lost += 1
             return
@@ -68,6 +71,8 @@
 
     def flush(self):
         """Write what waits, as far as the reader takes it."""
+        if not self._backlog:
+            return
         try:
             written = os.write(self.descriptor, self._backlog)
         except BlockingIOError:
--- a/boragegw/gateway/_membership.py
+++ b/boragegw/gateway/_membership.py
@@ -21,11 +21,13 @@
 UNKNOWN_FLEET = 24
 #: Processes to which a heartbeat goes; with more, news spread in a few steps.
 FANOUT = 24
-#: News of other processes in a heartbeat. Where everybody hears everybody, one helps a
-#: process that does not know all seeds' news yet; with more processes than
-#: :data:`FANOUT` a heartbeat carries as many as fit in 1,200 bytes.
+#: News of other processes in a heartbeat: one where everybody has long heard everybody,
+#: since eight are ten times the bytes; as many as fit in 1,200 bytes while a process
+#: in sight is new, or with more processes than :data:`FANOUT`.
 NEWS = 1
-NEWS_OF_MANY = 8
+MUCH_NEWS = 8
+#: Seconds for which a process counts as new.
+NEW_FOR = 3.0
 
 
 class Life(enum.IntEnum):
@@ -118,6 +120,7 @@
         self.on_change = None
         self._known = {}
         self._started_at = now()
+        self._newcomer_at = now()
         board.processes = UNKNOWN_FLEET
         self._lost_sight = set()
         self._transport = None
@@ -172,7 +175,8 @@
     def _heartbeat(self):
         now = self.now()
         fresh = [k for k in self._known.values() if now - k.heard_at < SILENCE]
-        most = NEWS if len(fresh) <= FANOUT else NEWS_OF_MANY
+        settled = len(fresh) <= FANOUT and now > self._newcomer_at + NEW_FOR
+        most = NEWS if settled else MUCH_NEWS
         chosen = self.random_state.sample(fresh, min(most, len(fresh)))
         news = [News(k.member, round(now - k.heard_at, 3)) for k in chosen]
         alone = not fresh
@@ -236,6 +240,7 @@
                 return
         if known is None or known.member.incarnation != member.incarnation:
             self.log.event("peer-seen", peer=member.name, life=member.life)
+            self._newcomer_at = self.now()
         self._known[member.name] = Known(member, heard_at)
 
     def _note_silence(self):
--- /dev/null
+++ b/boragegw/gateway/tests/test_membership.py
@@ -0,0 +1,203 @@
+"""Who lives: heartbeats lost, late and out of order; what directories name."""
+
+import random
+
+import hypothesis
+import hypothesis.strategies as st
+import msgspec
+import pytest
+
+from boragegw import gateway
+from boragegw.gateway import _membership
+
+
+class Wire:
+    """Carries datagrams between processes, when told to."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.processes = {}
+        self.waiting = []
+
+    def add(self, name, incarnation=1):
+        own = gateway.Member(
+            name=name,
+            incarnation=incarnation,
+            beat=0,
+            data_centre="dc-a",
+            front=f"{name}:1",
+            peer=f"{name}:2",
+            life=gateway.Life.READY,
+        )
+        process = gateway.Membership(
+            gateway.Board(),
+            own,
+            lambda: [("p0", 2)],
+            now=lambda: self.now,
+            log=Silence(),
+            random_state=random.Random(name),
+        )
+        process.connection_made(End(self, name))
+        self.processes[name] = process
+        return process
+
+    def deliver(self):
+        waiting, self.waiting = self.waiting, []
+        for source, target, data in waiting:
+            if target[0] in self.processes:
+                self.processes[target[0]].datagram_received(data, (source, 2))
+
+    def run(self, seconds):
+        for _ in range(round(seconds / _membership.INTERVAL)):
+            self.now += _membership.INTERVAL
+            for process in list(self.processes.values()):
+                process.tick()
+            self.deliver()
+            self.deliver()
+
+
+class End:
+    def __init__(self, wire, name):
+        self.wire = wire
+        self.name = name
+
+    def sendto(self, data, address):
+        self.wire.waiting.append((self.name, address, data))
+
+    def is_closing(self):
+        return False
+
+
+class Silence:
+    def event(self, kind, **fields):
+        pass
+
+
+def names(process):
+    return sorted(member.name for member in process.alive())
+
+
+def test_processes_find_each_other_through_one_seed():
+    wire = Wire()
+    for number in range(6):
+        wire.add(f"p{number}")
+    wire.run(2.0)
+    for name, process in wire.processes.items():
+        assert names(process) == sorted(set(wire.processes) - {name})
+        assert process.board.processes >= 6
+
+
+def test_dead_process_is_forgotten_within_the_directorys_bound():
+    """A process loses power. Directories that go on naming it would send callers to
+    it; contact and grace allow six seconds.
+    """
+    wire = Wire()
+    for number in range(5):
+        wire.add(f"p{number}")
+    wire.run(3.0)
+    del wire.processes["p3"]
+    wire.run(3.0)
+    for process in wire.processes.values():
+        assert "p3" not in names(process)
+
+
+def test_leaving_process_is_no_longer_named_at_once():
+    wire = Wire()
+    for number in range(3):
+        wire.add(f"p{number}")
+    wire.run(2.0)
+    leaving = wire.processes["p1"]
+    leaving.own.life = gateway.Life.LEAVING
+    leaving.announce()
+    wire.deliver()
+    assert "p1" not in [m.name for m in wire.processes["p2"].ready()]
+
+
+def test_restarted_process_replaces_its_former_self_for_good():
+    """A process is killed and back within a heartbeat. News of its former self, with a
+    higher count of beats, is still under way and must not hide the new one.
+    """
+    wire = Wire()
+    for number in range(4):
+        wire.add(f"p{number}")
+    wire.run(10.0)
+    old = wire.processes.pop("p2")
+    wire.add("p2", incarnation=2)
+    wire.run(1.0)
+    stale = _membership.Heartbeat(
+        wire.processes["p1"].own, [_membership.News(old.own, 0.9)]
+    )
+    wire.processes["p3"].datagram_received(msgspec.msgpack.encode(stale), ("p1", 2))
+    (known,) = [m for m in wire.processes["p3"].alive() if m.name == "p2"]
+    assert known.incarnation == 2
+
+
+def test_fleet_that_starts_at_once_shares_its_budgets_before_it_knows_itself():
+    """All machines lose power and come back. Each process knows nobody yet; if it took
+    itself for the whole fleet, all together would spend a multiple of the budget.
+    """
+    wire = Wire()
+    process = wire.add("p0")
+    assert process.board.processes >= 20
+    wire.run(4.0)
+    assert process.board.processes == 1
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=100)
+@hypothesis.given(data=st.binary(max_size=100))
+def test_foreign_datagrams_change_nothing(data):
+    wire = Wire()
+    process = wire.add("p0")
+    process.datagram_received(data, ("x", 1))
+    assert process.alive() == []
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=40)
+@hypothesis.given(seed=st.integers(0, 10_000), loss=st.sampled_from([0.0, 0.03, 0.2]))
+def test_live_processes_stay_in_sight_under_loss(seed, loss):
+    drawn = random.Random(seed)
+    wire = Wire()
+    for number in range(8):
+        wire.add(f"p{number}")
+    wire.run(3.0)
+    deliver = wire.deliver
+
+    def lossy():
+        wire.waiting = [w for w in wire.waiting if drawn.random() >= loss]
+        deliver()
+
+    wire.deliver = lossy
+    for _ in range(10):
+        wire.run(0.5)
+        for name, process in wire.processes.items():
+            missing = set(wire.processes) - {name} - set(names(process))
+            assert len(missing) <= (1 if loss > 0.1 else 0)
+
+
+def members(counts):
+    return [
+        gateway.Member(f"{dc}{n}", 1, 1, dc, f"{dc}{n}:1", f"{dc}{n}:2")
+        for dc, count in counts.items()
+        for n in range(count)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("counts", "data_centre", "local", "others"),
+    [
+        ({"a": 6, "b": 6, "c": 5}, "a", 6, 2),
+        ({"a": 1, "b": 6}, "a", 1, 6),
+        ({"b": 6}, "a", 0, 6),
+        ({"a": 3}, "a", 3, 0),
+        ({"a": 100}, "a", 64, 0),
+        ({}, "a", 0, 0),
+    ],
+)
+def test_directory_names_the_own_data_centre_and_two_others(
+    counts, data_centre, local, others
+):
+    chosen = gateway.DirectoryPolicy().choose(
+        members(counts), data_centre, random.Random(1)
+    )
+    near = [m for m in chosen if m.data_centre == data_centre]
+    assert (len(near), len(chosen) - len(near)) == (local, others)
