Silent connections cost no request; a process that starts while the store is away begins with its peers

Cause, found by new tests of recovery: (1) where all idle connections of a service had gone silent, the first request got 503 after 0.17 s although new connections worked; (2) with the store away for everybody, a restarted process refused everything, since it followed only peers that can read the store.

Change: a search that no server answered is repeated once, on new connections; a process that knows nothing and has found the store away reads any peer that knows more.

--- a/boragegw/gateway/_asker.py
+++ b/boragegw/gateway/_asker.py
@@ -56,6 +56,8 @@
     :param tried: identities of servers that are not asked.
     :param give_up_at: monotonic seconds.
     :param heavy: the answer is large, so the own data centre comes first.
+    :param asked: servers that were asked.
+    :param answered: servers that have answered.
     """
 
     service: object
@@ -63,6 +65,13 @@
     tried: set
     give_up_at: float
     heavy: bool = False
+    asked: int = 0
+    answered: int = 0
+
+    @property
+    def was_silent(self):
+        """Whether servers were asked and none answered."""
+        return bool(self.asked and not self.answered)
 
 
 class Asker:
@@ -110,6 +119,7 @@
         try:
             for wave in waves:
                 state.probes.take(len(wave))
+                search.asked += len(wave)
                 questions |= {self._start(search, server) for server in wave}
                 if await self._collect(questions, replies, WAVE_TIMEOUT):
                     break
@@ -289,6 +299,7 @@
 
     def _judge(self, search, server, connection, answer):
         now = self.now()
+        search.answered += 1
         health = self.dialect.read_health(answer, now)
         if health.identity and health.identity != server.identity:
             server.moved = True
--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -86,9 +86,11 @@
         own.watches_store = watching
         if watching:
             return None
-        return self._best_peer()
+        return self._peer_to_follow()
 
     def _should_watch(self):
+        if self._knows_nothing_while_store_is_away():
+            return False
         own = self.membership.own
         if own.reads_store:
             return own.name in self._watchers()
@@ -133,6 +135,26 @@
         local = [m for m in peers if m.data_centre == own.data_centre]
         return self.random_state.choice(local or peers).name
 
+    def _knows_nothing_while_store_is_away(self):
+        return self.catalogue.position < 0 and self._any_peer() is not None
+
+    def _any_peer(self):
+        """Return a peer to begin with if the store has failed and nothing is known.
+
+        Guards against a process that starts while nobody can read the store: it would
+        refuse everything although its peers serve on with what they know.
+        """
+        if self.catalogue.position >= 0 or not self._failures:
+            return None
+        peers = [
+            member
+            for member in self.membership.alive()
+            if member.revision and self._avoided.get(member.name, 0.0) <= self.now()
+        ]
+        if not peers:
+            return None
+        return max(peers, key=lambda member: member.revision).name
+
     def _source(self, name):
         if name is None:
             return self.store
@@ -146,6 +168,9 @@
             self._peer = (address, self.peer_source(address))
         return self._peer[1]
 
+    def _peer_to_follow(self):
+        return self._best_peer() or self._any_peer()
+
     # Reading.
 
     async def _read(self, name):
@@ -232,7 +257,7 @@
         probing = self.membership.own.name in self._probers()
         longest = WATCHER_RETRY if probing else OTHERS_RETRY
         end = self.now() + longest * (0.6 + 0.8 * self.random_state.random())
-        while self.now() < end and self._best_peer() is None:  # noqa: ASYNC110
+        while self.now() < end and not self._peer_to_follow():  # noqa: ASYNC110
             await asyncio.sleep(0.05)
 
     # Watching the watch.
@@ -268,6 +293,8 @@
         self._wake.set()
 
     def _still_good(self, name):
+        if self.catalogue.position < 0:
+            return True
         for member in self.membership.alive():
             if member.name == name:
                 return member.watches_store and member.reads_store
--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -11,6 +11,9 @@
 LEAST_TIME = 0.02
 #: Seconds after the final answer at which a send that nobody cancelled ends.
 OVERTIME = 0.05
+#: Searches that no server answered after which a request is given up: the first meets
+#: connections that something has silently forgotten, the second new ones.
+SILENT_SEARCHES = 1
 #: Times that a request is placed anew because its place was lost before the send.
 PLACINGS = 3
 #: Share of the expected time that must be left: the expectation is a median, and half
@@ -91,7 +94,12 @@
         return outcome
 
     async def _find_place(self, call, hedge):
-        """Return a place, after a short wait for room if need be."""
+        """Return a place, after a short wait for room if need be.
+
+        Where no server answered at all, the connections were silent: they are closed
+        by then, and the next search opens new ones.
+        """
+        silent_searches = 0
         state = call.state
         hold_until = self.shedding.hold_until(call.route, call.request.arrived)
         while True:
@@ -103,9 +111,12 @@
                 heavy=call.route.kind is balancing.RouteKind.DOWNLOAD,
             )
             place = await self.asker.place(search)
-            left = hold_until - self.now()
-            if place is not None or hedge or left < self.shedding.pause:
+            if place is not None or hedge:
                 return place
+            if search.was_silent and silent_searches < SILENT_SEARCHES:
+                silent_searches += 1
+            elif hold_until - self.now() < self.shedding.pause:
+                return None
             await asyncio.sleep(self.shedding.pause)
 
     def _still_fits(self, call, place):
