--- /dev/null
+++ b/examples/asking.py
@@ -0,0 +1,31 @@
+"""Which of four backend servers a gateway process asks, and which one it takes."""
+
+import random
+
+from boragegw import balancing
+
+policy = balancing.AskingPolicy(data_centre="dc-a")
+reports = {
+    "near-full": ("dc-a", balancing.LoadReport(4, 0, 6, 1.0, 0.0)),
+    "near-slow": ("dc-a", balancing.LoadReport(1, 0, 6, 5.0, 0.0)),
+    "near-quiet": ("dc-a", balancing.LoadReport(2, 0, 6, 1.0, 0.0)),
+    "far-idle": ("dc-b", balancing.LoadReport(0, 0, 6, 1.0, 0.0)),
+}
+servers = [
+    balancing.Server(
+        balancing.Listing(name, "filing", (name, 80), place, "v1", 6, False, 0.0),
+        report=report,
+    )
+    for name, (place, report) in reports.items()
+]
+offers = [policy.judge(server, now=0.0) for server in servers]
+for offer in offers:
+    state = "quiet" if offer.quiet else "room" if offer.room else "no room"
+    print(f"{offer.server.identity}: cost {offer.cost:.2f}, {state}")
+waves = policy.waves(
+    servers, allowed=8, fullness=0.0, now=0.0, random_state=random.Random(1)
+)
+for number, wave in enumerate(waves, 1):
+    print(f"wave {number}:", ", ".join(server.identity for server in wave))
+best = policy.best([offer for offer in offers if offer.room])
+print(f"taken: {best.server.identity}")
