--- a/boragegw/gateway/tests/test_front.py
+++ b/boragegw/gateway/tests/test_front.py
@@ -1,7 +1,6 @@
 """The callers' side of the wire, in tables: what is accepted, refused and closed."""
 
 import asyncio
-import functools
 
 import hypothesis
 import hypothesis.strategies as st
@@ -73,14 +72,6 @@
         writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
 
 
-def in_virtual_time(test):
-    @functools.wraps(test)
-    def run(*args, **kwargs):
-        return standins.run_in_memory(test(*args, **kwargs))
-
-    return run
-
-
 def connect(process):
     connection = gateway.FrontConnection(process)
     transport = Transport()
@@ -127,7 +118,7 @@
         (HEAD + b"upgrade: h2c\r\nconnection: upgrade\r\n\r\n", 400),
     ],
 )
-@in_virtual_time
+@standins.in_memory
 async def test_what_is_accepted_and_what_is_refused(sent, status):
     process = Process(header_bytes=1000, body_bytes=100)
     connection, transport = connect(process)
@@ -139,7 +130,7 @@
     assert process.body_memory.held == 0
 
 
-@in_virtual_time
+@standins.in_memory
 async def test_smuggled_request_is_never_served():
     """A body that looks like a second request, behind a head with a length and chunks,
     would run as a request that no caller sent.
@@ -155,7 +146,7 @@
     assert statuses(transport) == [400]
 
 
-@in_virtual_time
+@standins.in_memory
 async def test_pipelined_requests_are_answered_in_order():
     process = Process()
     process.delay = 0.1
@@ -171,7 +162,7 @@
     assert transport.reading is True
 
 
-@in_virtual_time
+@standins.in_memory
 async def test_bad_request_is_refused_after_the_answers_before_it():
     process = Process()
     process.delay = 0.1
@@ -192,7 +183,7 @@
         (HEAD + b"\r\n", 15.0, 200),
     ],
 )
-@in_virtual_time
+@standins.in_memory
 async def test_slow_and_idle_callers_are_closed_in_time(sent, seconds, status):
     process = Process(header_timeout=3.0, idle_timeout=15.0)
     connection, transport = connect(process)
@@ -207,7 +198,7 @@
     assert process.body_memory.held == 0
 
 
-@in_virtual_time
+@standins.in_memory
 async def test_bodies_of_all_callers_together_are_bounded():
     """Many callers send large bodies at once. Without a bound the process would be
     killed for its memory, and every request in it lost.
@@ -227,7 +218,7 @@
     assert process.body_memory.held == 0
 
 
-@in_virtual_time
+@standins.in_memory
 async def test_caller_that_leaves_midway_leaves_nothing_behind():
     process = Process()
     connection, _ = connect(process)
@@ -281,7 +272,7 @@
     return process
 
 
-@in_virtual_time
+@standins.in_memory
 async def test_defect_breaks_the_connection_and_is_noted():
     """An error of the process itself must not leave a caller waiting in silence."""
     process = Process()
--- a/boragegw/platform/tests/test_recovery.py
+++ b/boragegw/platform/tests/test_recovery.py
@@ -5,10 +5,9 @@
 import pytest
 
 from boragegw import standins
-from boragegw.platform.tests import test_path
 
-in_memory = test_path.in_memory
-STORE = test_path.STORE
+STORE = standins.STORE
+in_memory = standins.in_memory
 
 
 async def world(**fields):
--- a/boragegw/standins/__init__.py
+++ b/boragegw/standins/__init__.py
@@ -4,7 +4,12 @@
 from boragegw.standins._caller import Caller, CallerAnswer
 from boragegw.standins._fleet import LocalFleet
 from boragegw.standins._history import AnswerEvent, violations
-from boragegw.standins._memory_network import HOST, MemoryLoop, run_in_memory
+from boragegw.standins._memory_network import (
+    HOST,
+    MemoryLoop,
+    in_memory,
+    run_in_memory,
+)
 from boragegw.standins._platform import PublishedState, StandinPlatform
 from boragegw.standins._virtual_backend import RunEvent, VirtualBackend, VirtualFaults
 from boragegw.standins._virtual_fleet import ServiceShape, VirtualFleet
@@ -16,10 +21,12 @@
 from boragegw.standins._virtual_transport import VirtualTransport
 from boragegw.standins._wire_backend import WireBackend, WireFaults
 from boragegw.standins._wire_store import WireStore
-from boragegw.standins._wire_world import WireWorld, request_bytes
+from boragegw.standins._wire_world import STORE, WireWorld, request_bytes
 
 __all__ = [
     "HOST",
+    "STORE",
+    "in_memory",
     "AnswerEvent",
     "BackendFaults",
     "Caller",
--- a/boragegw/standins/_memory_network.py
+++ b/boragegw/standins/_memory_network.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import contextvars
+import functools
 
 from boragegw import utils
 
@@ -259,3 +260,13 @@
     """Run ``coroutine`` to its end on a :class:`MemoryLoop`; return its result."""
     with asyncio.Runner(loop_factory=MemoryLoop) as runner:
         return runner.run(coroutine)
+
+
+def in_memory(test):
+    """Run an ``async`` test in virtual time with a network in memory."""
+
+    @functools.wraps(test)
+    def run(*args, **kwargs):
+        return run_in_memory(test(*args, **kwargs))
+
+    return run
