Read once more: one filter of permitted servers, one reading of settings, dead fields gone

The filter of servers that may get work stood twice (usable, cold candidates), the settings file was read and decoded in two places, Outcome.placed and Failure.CANCELLED were written or listed and never read.

--- a/boragegw/balancing/__init__.py
+++ b/boragegw/balancing/__init__.py
@@ -1,6 +1,12 @@
 """Decisions of the gateway: pure, without input or output, light to import."""
 
-from boragegw.balancing._asking import AskingPolicy, Offer, expected_wait, usable
+from boragegw.balancing._asking import (
+    AskingPolicy,
+    Offer,
+    expected_wait,
+    permitted,
+    usable,
+)
 from boragegw.balancing._budget import ProbeBudget, RepeatBudget, SlidingCount
 from boragegw.balancing._hedging import AgeHedgePolicy
 from boragegw.balancing._quarantine import QuarantinePolicy
@@ -44,5 +50,6 @@
     "WeightedTurns",
     "bare_host",
     "expected_wait",
+    "permitted",
     "usable",
 ]
--- a/boragegw/balancing/_asking.py
+++ b/boragegw/balancing/_asking.py
@@ -165,23 +165,32 @@
         return min(offers, key=lambda offer: offer.cost, default=None)
 
 
-def usable(servers, *, now, evacuated, excluded=()):
-    """Return the servers that may get a request, those in good health first.
-
-    A server whose health check fails or that cannot be reached is used only where no
-    other is left: health checks may be wrong, and a common cause can make all of a
-    service look ill at once.
+def permitted(servers, evacuated, excluded):
+    """Return the servers that may get work at all, cold and ill ones included.
 
     :param evacuated: data centres that are taken out.
     :param excluded: identities that the request has tried before.
     """
-    allowed = [
+    return [
         server
         for server in servers
         if not server.leaving
         and server.listing.data_centre not in evacuated
         and server.identity not in excluded
     ]
+
+
+def usable(servers, *, now, evacuated, excluded=()):
+    """Return the servers that may get a request, those in good health first.
+
+    A server whose health check fails or that cannot be reached is used only where no
+    other is left: health checks may be wrong, and a common cause can make all of a
+    service look ill at once.
+
+    :param evacuated: data centres that are taken out.
+    :param excluded: identities that the request has tried before.
+    """
+    allowed = permitted(servers, evacuated, excluded)
     warm = [server for server in allowed if not server.is_cold(now)]
     reachable = [s for s in warm if s.unreachable_until <= now]
     healthy = [s for s in reachable if s.unwell_until <= now]
--- a/boragegw/gateway/_asker.py
+++ b/boragegw/gateway/_asker.py
@@ -153,14 +153,8 @@
         return None
 
     def _cold_candidates(self, servers, tried, now):
-        candidates = [
-            server
-            for server in servers
-            if not server.leaving
-            and server.is_cold(now)
-            and server.listing.data_centre not in self.board.evacuated
-            and server.identity not in tried
-        ]
+        allowed = balancing.permitted(servers, self.board.evacuated, tried)
+        candidates = [server for server in allowed if server.is_cold(now)]
         self.random_state.shuffle(candidates)
         return candidates
 
--- a/boragegw/gateway/_call.py
+++ b/boragegw/gateway/_call.py
@@ -63,14 +63,12 @@
     :param verdict: whether the request may have run there.
     :param answer: the backend server's answer, whole or large enough to pass on.
     :param connection: still carries the answer if that is not whole.
-    :param placed: whether a backend server was found at all.
     """
 
     verdict: Verdict
     answer: object = None
     server: object = None
     connection: object = None
-    placed: bool = True
     reason: str = ""
 
     @property
--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -62,21 +62,19 @@
         for _ in range(PLACINGS):
             place = await self._find_place(call, hedge)
             if place is None:
-                return _call.Outcome(Verdict.NOT_RUN, placed=False, reason="no room")
+                return _call.Outcome(Verdict.NOT_RUN, reason="no room")
             server = place.server
             pool = self.asker.pool(server)
             now = self.now()
             refusal = self._refusal(call, place, now, hedge)
             if refusal:
                 pool.release(place.connection)
-                return _call.Outcome(Verdict.NOT_RUN, placed=False, reason=refusal)
+                return _call.Outcome(Verdict.NOT_RUN, reason=refusal)
             if self._still_fits(call, place):
                 break
             pool.release(place.connection)
         else:
-            return _call.Outcome(
-                Verdict.NOT_RUN, placed=False, reason="places were lost"
-            )
+            return _call.Outcome(Verdict.NOT_RUN, reason="places were lost")
         call.tried.add(server.identity)
         call.sends += 1
         call.records.append(_record(call, place, now))
--- a/boragegw/gateway/_upstream.py
+++ b/boragegw/gateway/_upstream.py
@@ -22,7 +22,6 @@
     TRUNCATED = "the answer broke off"
     MALFORMED = "bytes that are no answer"
     TIMEOUT = "no answer in time"
-    CANCELLED = "given up here"
 
 
 class ExchangeError(Exception):
--- a/boragegw/platform/_settings.py
+++ b/boragegw/platform/_settings.py
@@ -36,8 +36,7 @@
     :raises ConfigurationError: naming the key, its value and what was expected.
     """
     try:
-        with open(path, "rb") as file:
-            data = msgspec.json.decode(file.read())
+        data = _decoded(path)
     except (OSError, msgspec.DecodeError) as error:
         raise errors.ConfigurationError(path, "file", str(error)) from error
     if not isinstance(data, dict):
@@ -48,13 +47,17 @@
 def is_settings(path):
     """Return whether the file at ``path`` is the platform's settings of a process."""
     try:
-        with open(path, "rb") as file:
-            data = msgspec.json.decode(file.read())
+        data = _decoded(path)
     except (OSError, msgspec.DecodeError):
         return False
     return isinstance(data, dict) and {"node", "listen", "platform"} <= data.keys()
 
 
+def _decoded(path):
+    with open(path, "rb") as file:
+        return msgspec.json.decode(file.read())
+
+
 class _Reader:
     """Reads typed values by dotted key."""
 
