--- a/boragegw/balancing/_shedding.py
+++ b/boragegw/balancing/_shedding.py
@@ -53,7 +53,7 @@
         "least_retry": utils.Interval(float, 0, 60),
     }
 
-    def __init__(self, hold_share=0.1, pause=0.01, retry_share=0.1, least_retry=0.02):
+    def __init__(self, hold_share=0.1, pause=0.01, retry_share=0.02, least_retry=0.005):
         self.hold_share = hold_share
         self.pause = pause
         self.retry_share = retry_share
