Pulses instead of whole heartbeats while the fleet is settled

Ruled out: longer pauses between heartbeats, which the bounds on forgetting a lost process and on a new configuration need. Change: three of four beats are pulses (incarnation, beat, life, revision, store flags) to processes that have known this one for 3 s. Thirteen processes in memory: 26.4 to 8.7 KB/s together.

--- a/boragegw/gateway/_membership.py
+++ b/boragegw/gateway/_membership.py
@@ -28,6 +28,9 @@
 MUCH_NEWS = 8
 #: Seconds for which a process counts as new.
 NEW_FOR = 3.0
+#: Of so many beats one is a heartbeat and the others are pulses, while everybody has
+#: long heard everybody. 13 processes then send 8.7 KB/s together instead of 26.4.
+FULL_EVERY = 4
 
 
 class Life(enum.IntEnum):
@@ -85,6 +88,20 @@
     wants_answer: bool = False
 
 
+class Pulse(msgspec.Struct, array_like=True, tag="p"):
+    """What changes from beat to beat, for processes that know the rest.
+
+    :param incarnation: of the sender, which is known by its address.
+    """
+
+    incarnation: int
+    beat: int
+    life: Life
+    revision: int
+    reads_store: bool
+    watches_store: bool
+
+
 class Crash(msgspec.Struct, array_like=True, tag="c"):
     """A backend server crashed while it ran the request with this fingerprint."""
 
@@ -125,7 +142,7 @@
         self._lost_sight = set()
         self._transport = None
         self._encode = msgspec.msgpack.Encoder().encode
-        self._decode = msgspec.msgpack.Decoder(Heartbeat | Crash).decode
+        self._decode = msgspec.msgpack.Decoder(Heartbeat | Pulse | Crash).decode
 
     # Views.
 
@@ -156,8 +173,10 @@
         self.own.beat += 1
         self._note_silence()
         beat = self._heartbeat()
+        pulse = beat if self.own.beat % FULL_EVERY == 0 else self._pulse()
+        acquainted = self._acquainted()
         for address in self._targets():
-            self._send(address, beat)
+            self._send(address, pulse if address in acquainted else beat)
 
     def announce(self):
         """Tell all in sight at once, as for a planned stop."""
@@ -172,11 +191,39 @@
         for member in self.alive():
             self._send(_pair(member.peer), datagram)
 
+    def _fresh(self):
+        oldest = self.now() - SILENCE
+        return [k for k in self._known.values() if k.heard_at > oldest]
+
+    def _is_settled(self, fresh):
+        """Return whether all in sight have long heard of each other."""
+        newcomers = self.now() <= self._newcomer_at + NEW_FOR
+        return len(fresh) <= FANOUT and not newcomers
+
+    def _acquainted(self):
+        """Return the addresses of processes that surely know this one."""
+        fresh = self._fresh()
+        if not self._is_settled(fresh):
+            return set()
+        return {_pair(k.member.peer) for k in fresh}
+
+    def _pulse(self):
+        own = self.own
+        return self._encode(
+            Pulse(
+                own.incarnation,
+                own.beat,
+                own.life,
+                own.revision,
+                own.reads_store,
+                own.watches_store,
+            )
+        )
+
     def _heartbeat(self):
         now = self.now()
-        fresh = [k for k in self._known.values() if now - k.heard_at < SILENCE]
-        settled = len(fresh) <= FANOUT and now > self._newcomer_at + NEW_FOR
-        most = NEWS if settled else MUCH_NEWS
+        fresh = self._fresh()
+        most = NEWS if self._is_settled(fresh) else MUCH_NEWS
         chosen = self.random_state.sample(fresh, min(most, len(fresh)))
         news = [News(k.member, round(now - k.heard_at, 3)) for k in chosen]
         alone = not fresh
@@ -211,6 +258,9 @@
             if self.on_crash is not None:
                 self.on_crash(message.fingerprint)
             return
+        if isinstance(message, Pulse):
+            self._take_pulse(message, addr)
+            return
         self._take(message.sender, self.now(), direct=True)
         for news in message.news:
             self._take(news.member, self.now() - max(0.0, news.age), direct=False)
@@ -218,6 +268,32 @@
             self._send(_pair(message.sender.peer), self._heartbeat())
         self._changed()
 
+    def _take_pulse(self, pulse, address):
+        """Update a known process; an unknown one says more within two seconds."""
+        known = self._known_at(address)
+        if known is None or known.member.incarnation != pulse.incarnation:
+            return
+        if pulse.beat <= known.member.beat:
+            return
+        known.member = msgspec.structs.replace(
+            known.member,
+            beat=pulse.beat,
+            life=pulse.life,
+            revision=pulse.revision,
+            reads_store=pulse.reads_store,
+            watches_store=pulse.watches_store,
+        )
+        known.heard_at = self.now()
+        self._changed()
+
+    def _known_at(self, address):
+        """Return the process that sends from ``address``, or ``None``."""
+        peer = f"{address[0]}:{address[1]}"
+        for known in self._known.values():
+            if known.member.peer == peer:
+                return known
+        return None
+
     def error_received(self, exc):
         """Count an ICMP error; the next heartbeat goes out all the same."""
         self.board.counters["peers.send_errors"] += 1
--- a/boragegw/gateway/tests/test_membership.py
+++ b/boragegw/gateway/tests/test_membership.py
@@ -201,3 +201,53 @@
     )
     near = [m for m in chosen if m.data_centre == data_centre]
     assert (len(near), len(chosen) - len(near)) == (local, others)
+
+
+def test_settled_fleet_sends_few_bytes():
+    """Thirteen processes that have long heard of each other tell each other twice a
+    second that they live, mostly across data centres, where bytes cost. Whole
+    heartbeats took 26 KB/s; most of what they say never changes.
+    """
+    wire = Wire()
+    for number in range(13):
+        wire.add(f"p{number}")
+    wire.run(6.0)
+    sent = []
+    for process in wire.processes.values():
+        process.connection_made(Counting(wire, process.own.name, sent))
+    wire.run(10.0)
+    assert sum(sent) / 10.0 < 10_000
+
+
+class Counting(End):
+    def __init__(self, wire, name, sent):
+        super().__init__(wire, name)
+        self.sent = sent
+
+    def sendto(self, data, address):
+        self.sent.append(len(data))
+        super().sendto(data, address)
+
+
+def test_pulse_tells_what_changes():
+    """A process learns a new revision and then loses the store. Others follow it only
+    while they know that; whole heartbeats say so once in two seconds, pulses at once.
+    """
+    wire = Wire()
+    for number in range(3):
+        wire.add(f"p{number}")
+    wire.run(6.0)
+    for beat in range(4):
+        wire.processes["p1"].own.revision = 40 + beat
+        wire.processes["p1"].own.reads_store = beat % 2 == 0
+        wire.run(0.5)
+        (seen,) = (m for m in wire.processes["p2"].alive() if m.name == "p1")
+        assert (seen.revision, seen.reads_store) == (40 + beat, beat % 2 == 0)
+
+
+def test_pulse_of_an_unknown_process_is_no_news():
+    wire = Wire()
+    process = wire.add("p0")
+    pulse = _membership.Pulse(7, 9, gateway.Life.READY, 3, True, True)
+    process.datagram_received(msgspec.msgpack.encode(pulse), ("p9", 2))
+    assert names(process) == []
