boragegw explain reads the logs of several processes

On-call engineers have logs of many machines whose clocks differ and jump; explain asked one entry of the product's own interface only. Steady clocks are aligned by the adoption of configurations; a process without one in common, by the time of day. Ruled out: sorting by the time of day (a jump of 900 s in the tests puts the answer first). Tests: clocks 30 s apart, a jump, a restart with a new steady clock, foreign prefixes.

--- a/boragegw/cli/_main.py
+++ b/boragegw/cli/_main.py
@@ -12,6 +12,7 @@
     _check,
     _configure,
     _demo,
+    _explain,
     _platform,
     _recall,
     _serve,
@@ -19,7 +20,16 @@
 )
 
 EXIT_BAD_INPUT = 2
-COMMANDS = (_configure, _check, _serve, _recall, _status, _demo, _platform)
+COMMANDS = (
+    _configure,
+    _check,
+    _serve,
+    _recall,
+    _status,
+    _explain,
+    _demo,
+    _platform,
+)
 
 
 def make_parser():
--- a/boragegw/cli/_operator.py
+++ b/boragegw/cli/_operator.py
@@ -1,5 +1,7 @@
 """Reads an entry's operator interface."""
 
+import json
+
 import httpx
 
 from boragegw import errors
@@ -23,3 +25,13 @@
             "operator", f"{address}{path}: status {answer.status_code} {detail}"
         )
     return answer.json()
+
+
+def show(options, path, lines):
+    """Print the document at ``path``, as JSON or as ``lines`` of it; return 0."""
+    document = fetch(options.entry, path)
+    if options.json:
+        print(json.dumps(document, indent=1))
+    else:
+        print("\n".join(lines(document)))
+    return 0
--- a/boragegw/operations/__init__.py
+++ b/boragegw/operations/__init__.py
@@ -9,18 +9,24 @@
     service_cells,
     status_of,
 )
+from boragegw.operations._stories import AROUND, Line, Logs, read_logs, story_of
 from boragegw.operations._traces import OpenTelemetryTracer, make_tracer
 
 __all__ = [
+    "AROUND",
     "METRICS",
     "SERVICE_COLUMNS",
     "JsonLinesFormatter",
+    "Line",
+    "Logs",
     "MetricsReporter",
     "OpenTelemetryTracer",
     "OperatorApplication",
     "configure_logging",
     "explain_request",
     "make_tracer",
+    "read_logs",
     "service_cells",
     "status_of",
+    "story_of",
 ]
