A first start costs few calls to the store; the best linked machine reads it

Ruled out: acquaintance for 1 s (in memory 61 of 99 others are not heard of yet; 2.5 s: one); acquaintance alone (884 calls).

--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -30,6 +30,12 @@
 SETTLE = 0.4
 #: Processes in a data centre that watch the store.
 WATCHERS = 1
+#: Where the whole system starts for the first time: seconds in which the processes find
+#: each other before they choose who reads the store, and the longest that the others
+#: then wait for those that do. Each of a hundred would otherwise read and watch it; in
+#: 2.5 s each has heard of 98 others.
+ACQUAINTANCE = 2.5
+LONGEST_ACQUAINTANCE = 5.0
 
 
 class Follower:
@@ -42,10 +48,20 @@
 
     :param store: the platform's store, a :class:`Source`.
     :param peer_source: function from a peer's address to a :class:`Source`.
+    :param first_start: the whole system starts for the first time, without callers.
     """
 
     def __init__(
-        self, catalogue, membership, store, peer_source, *, now, random_state, log
+        self,
+        catalogue,
+        membership,
+        store,
+        peer_source,
+        *,
+        now,
+        random_state,
+        log,
+        first_start=False,
     ):
         self.catalogue = catalogue
         self.membership = membership
@@ -54,6 +70,7 @@
         self.now = now
         self.random_state = random_state
         self.log = log
+        self.first_start = first_start
         self._wake = asyncio.Event()
         self._following = None
         self._peer = None
@@ -65,6 +82,8 @@
 
     async def run(self):
         """Read and watch for ever."""
+        if self.first_start:
+            await self._get_acquainted()
         while True:
             name = self._choose()
             try:
@@ -77,6 +96,14 @@
             except _knowledge.SourceError as error:
                 await self._failed(name, error)
 
+    async def _get_acquainted(self):
+        started = self.now()
+        await asyncio.sleep(ACQUAINTANCE)
+        while self.now() < started + LONGEST_ACQUAINTANCE:  # noqa: ASYNC110
+            if self._should_watch() or self._best_peer() is not None:
+                return
+            await asyncio.sleep(0.05)
+
     # Choice.
 
     def _choose(self):
@@ -112,11 +139,11 @@
             staying.append(own)
         groups = {}
         for member in staying:
-            groups.setdefault(member.data_centre, []).append(member.name)
+            groups.setdefault(member.data_centre, []).append(member)
         return {
             name
-            for data_centre, names in groups.items()
-            for name in utils.rank(data_centre, names)[:WATCHERS]
+            for data_centre, group in groups.items()
+            for name in utils.rank(data_centre, _best_linked(group))[:WATCHERS]
         }
 
     def _best_peer(self):
@@ -305,3 +332,13 @@
         if self._should_watch():
             return self._following is not None
         return self._following is None and self._best_peer() is not None
+
+
+def _best_linked(members):
+    """Return the names of the members with the fastest links.
+
+    Guards against a watcher on a slow link: on one of 5 Mbit/s the first reading of 276
+    servers by the others took seconds, and they all read the store in its place.
+    """
+    fastest = max(member.link for member in members)
+    return [member.name for member in members if member.link == fastest]
--- a/boragegw/gateway/_membership.py
+++ b/boragegw/gateway/_membership.py
@@ -11,6 +11,9 @@
 #: Seconds without news after which a process counts as gone. Three heartbeats may be
 #: lost in a row on a link that loses 3% of its packets once in 37,000 times.
 SILENCE = 2.0
+#: The same with more processes than :data:`FANOUT`, whose news come through others: 2 s
+#: took 4 in 10,000 processes that live for gone at any moment.
+CROWD_SILENCE = 3.0
 #: Seconds for which a process out of sight is counted among those that may be alive.
 MAYBE_ALIVE = 30.0
 #: Seconds after the start in which others may not have been heard yet, and the number
@@ -55,7 +58,7 @@
     :param revision: latest revision of the platform's store that it knows.
     :param reads_store: whether the store answers it.
     :param watches_store: whether it watches the store itself.
-    :param weight: what it can carry, in relation to others.
+    :param link: megabits a second of its machine's link.
     """
 
     name: str
@@ -68,7 +71,7 @@
     revision: int = 0
     reads_store: bool = True
     watches_store: bool = False
-    weight: float = 1.0
+    link: float = 1000.0
 
 
 class News(msgspec.Struct, array_like=True):
@@ -161,8 +164,7 @@
 
     def alive(self):
         """Return the :class:`Member` of each other process in sight."""
-        oldest = self.now() - SILENCE
-        return [k.member for k in self._known.values() if k.heard_at >= oldest]
+        return [k.member for k in self._fresh()]
 
     def ready(self):
         """Return the members that take requests, this one included if it does."""
@@ -206,8 +208,12 @@
             self._send(_pair(member.peer), datagram)
 
     def _fresh(self):
-        oldest = self.now() - SILENCE
-        return [k for k in self._known.values() if k.heard_at > oldest]
+        oldest = self.now() - self._silence
+        return [k for k in self._known.values() if k.heard_at >= oldest]
+
+    @property
+    def _silence(self):
+        return SILENCE if len(self._known) <= FANOUT else CROWD_SILENCE
 
     def _newcomers(self, fresh):
         oldest = self.now() - NEW_FOR
@@ -250,7 +256,9 @@
     def _targets(self):
         alive = [_pair(m.peer) for m in self.alive()]
         if len(alive) > FANOUT:
-            alive = self.random_state.sample(alive, CROWD_FANOUT)
+            young = self.now() < self._started_at + NEW_FOR
+            most = FANOUT if young else CROWD_FANOUT
+            alive = self.random_state.sample(alive, most)
         targets = set(alive)
         # Seeds are tried for ever: after a partition in which both sides have
         # forgotten each other, only they join the two again.
@@ -340,7 +348,7 @@
 
     def _note_silence(self):
         now = self.now()
-        silent = {n for n, k in self._known.items() if now - k.heard_at > SILENCE}
+        silent = {n for n, k in self._known.items() if now - k.heard_at > self._silence}
         for name in silent - self._lost_sight:
             self.log.event("peer-silent", peer=name)
         self._lost_sight = silent
@@ -354,7 +362,7 @@
         maybe = (
             1
             for k in self._known.values()
-            if k.member.life != Life.LEAVING or now - k.heard_at < SILENCE
+            if k.member.life != Life.LEAVING or now - k.heard_at < self._silence
         )
         known = 1 + sum(maybe)
         if now < self._started_at + LEARNING:
--- a/boragegw/gateway/_process.py
+++ b/boragegw/gateway/_process.py
@@ -37,7 +37,8 @@
     :param peer: ``(host, port)`` for other processes, TCP and UDP.
     :param seeds: hosts on which other processes may run.
     :param stop_time: seconds from SIGTERM until the process is killed.
-    :param weight: what the machine can carry, in relation to others.
+    :param link: megabits a second of the machine's link.
+    :param first_start: the whole system starts for the first time, without callers.
     :param repeat_ratio: see :class:`~boragegw.balancing.RepeatBudget`.
     :param probe_rate: questions per backend server and second of the whole fleet.
     """
@@ -48,7 +49,8 @@
     peer: tuple
     seeds: tuple
     stop_time: float = 6.0
-    weight: float = 1.0
+    link: float = 1000.0
+    first_start: bool = False
     repeat_ratio: float = 0.2
     repeat_window: float = 10.0
     repeat_slack: float = 50.0
@@ -122,13 +124,18 @@
             data_centre=settings.data_centre,
             front=_joined(settings.front),
             peer=_joined(settings.peer),
-            weight=settings.weight,
+            link=settings.link,
         )
         self.membership = _membership.Membership(
             self.board, self.own, self._seed_addresses, **drawn
         )
         self.follower = _follower.Follower(
-            self.catalogue, self.membership, store, peer_source, **drawn
+            self.catalogue,
+            self.membership,
+            store,
+            peer_source,
+            first_start=settings.first_start,
+            **drawn,
         )
         self.directory = _directory.DirectoryPolicy()
         self.catalogue.on_change = self._note_ready
--- a/boragegw/platform/tests/test_knowledge.py
+++ b/boragegw/platform/tests/test_knowledge.py
@@ -160,3 +160,38 @@
     await asyncio.sleep(3.0)
     assert (await installation.call("/new/1")).status == 200
     assert (await installation.call("/old/1")).status == 404
+
+
+@in_memory
+async def test_first_start_of_a_fleet_costs_few_calls_to_the_store():
+    """The whole system starts for the first time. Nobody has heard of anybody yet, so
+    each process took itself for the one that reads the store: of a hundred, all did,
+    and calls are scarce and priced.
+    """
+    installation = standins.WireWorld()
+    await installation.store.start()
+    installation.publish([installation.route()])
+    await installation.add_backend("i-0")
+    for number in range(8):
+        await installation.add_gateway(f"gw-{number}", first_start=True)
+    await asyncio.sleep(6.0)
+    assert all(p.board.ready for p in installation.processes.values())
+    assert installation.store.calls <= 6
+
+
+@in_memory
+async def test_process_on_the_fastest_link_reads_the_store():
+    """One large machine and many with links of 5 Mbit/s: a watcher on a slow link kept
+    the others waiting, and they all called the store themselves.
+    """
+    installation = standins.WireWorld()
+    await installation.store.start()
+    installation.publish([installation.route()])
+    for number in range(6):
+        link = 100.0 if number == 4 else 5.0
+        await installation.add_gateway(f"gw-{number}", link=link, first_start=True)
+    await asyncio.sleep(6.0)
+    watching = [
+        name for name, p in installation.processes.items() if p.own.watches_store
+    ]
+    assert watching == ["gw-4"]
--- a/boragegw/standins/_wire_world.py
+++ b/boragegw/standins/_wire_world.py
@@ -109,8 +109,11 @@
         self.store.put(f"servers/{identity}", entry)
         return backend
 
-    async def add_gateway(self, name, data_centre="dc-a", seeds=("gw-0",)):
-        """Start a gateway process on a host of its own."""
+    async def add_gateway(self, name, data_centre="dc-a", seeds=("gw-0",), **fields):
+        """Start a gateway process on a host of its own.
+
+        :param fields: further ones of :class:`~boragegw.gateway.GatewaySettings`.
+        """
         settings = platform.PlatformSettings(
             gateway=gateway.GatewaySettings(
                 name=name,
@@ -118,6 +121,7 @@
                 front=(name, FRONT_PORT),
                 peer=(name, PEER_PORT),
                 seeds=tuple(seeds),
+                **fields,
             ),
             store=STORE,
             ready=(name, READY_PORT),
