--- a/boragegw/balancing/__init__.py
+++ b/boragegw/balancing/__init__.py
@@ -21,11 +21,18 @@
     WeightedTurns,
     bare_host,
 )
-from boragegw.balancing._servers import FailureShare, Listing, LoadReport, Server
+from boragegw.balancing._servers import (
+    SLOW,
+    FailureShare,
+    Listing,
+    LoadReport,
+    Server,
+)
 from boragegw.balancing._shedding import Fullness, SheddingPolicy
 from boragegw.balancing._warming import WarmupPolicy
 
 __all__ = [
+    "SLOW",
     "AgeHedgePolicy",
     "AskingPolicy",
     "CallerLimits",
--- a/boragegw/balancing/_asking.py
+++ b/boragegw/balancing/_asking.py
@@ -43,6 +43,8 @@
     :param distance_cost: added to the cost of a server in another data centre.
     :param heavy_distance_cost: the same where the answer is large, as a download's is:
         its bytes between data centres cost more than a somewhat slower server.
+    :param connection_cost: added in the order of asking where a new connection would
+        be needed: it takes a round trip and 1 ms of the server.
     :param failure_cost: added in proportion to the share of recent failures.
     :param memory: seconds for which an old report counts in the order of asking.
     :param slow_weight: cost of a server that works n times as slowly is 1 plus this
@@ -59,6 +61,7 @@
         "quiet_cost": utils.Interval(float, 1, 100),
         "distance_cost": utils.Interval(float, 0, 10),
         "heavy_distance_cost": utils.Interval(float, 0, 100),
+        "connection_cost": utils.Interval(float, 0, 10),
         "failure_cost": utils.Interval(float, 0, 100),
         "memory": utils.Interval(float, 0, 10),
         "slow_weight": utils.Interval(float, 0, 1),
@@ -73,6 +76,7 @@
         quiet_cost=1.5,
         distance_cost=0.15,
         heavy_distance_cost=1.0,
+        connection_cost=0.15,
         failure_cost=6.0,
         memory=0.12,
         slow_weight=0.85,
@@ -84,24 +88,40 @@
         self.quiet_cost = quiet_cost
         self.distance_cost = distance_cost
         self.heavy_distance_cost = heavy_distance_cost
+        self.connection_cost = connection_cost
         self.failure_cost = failure_cost
         self.memory = memory
         self.slow_weight = slow_weight
         self.fill_share = fill_share
 
-    def waves(self, candidates, *, allowed, fullness, now, random_state, heavy=False):
+    def waves(
+        self,
+        candidates,
+        *,
+        allowed,
+        fullness,
+        now,
+        random_state,
+        heavy=False,
+        connected=(),
+    ):
         """Yield lists of servers to ask, the most promising first.
 
         :param allowed: most servers that may be asked.
         :param fullness: share of recent searches that found no room. Each question
             takes a few milliseconds of a server, so a full service is asked less.
         :param heavy: the answer is large.
+        :param connected: identities of servers to which a connection is idle.
         """
         self._check_params()
-        order = sorted(
-            candidates,
-            key=lambda server: self._expectation(server, now, random_state, heavy),
-        )
+
+        def rank(server):
+            guess = self._expectation(server, now, random_state, heavy)
+            if server.identity not in connected:
+                guess += self.connection_cost
+            return guess
+
+        order = sorted(candidates, key=rank)
         wanted = max(self.wave, round(self.most * (1.0 - 1.5 * fullness)))
         most = order[: min(wanted, allowed)]
         for start in range(0, len(most), self.wave):
--- a/boragegw/balancing/_budget.py
+++ b/boragegw/balancing/_budget.py
@@ -24,6 +24,12 @@
             self._steps.append([step, 1])
         self._sum += 1
 
+    def remove(self):
+        """Take back the event counted last, if it is still in the window."""
+        if self._steps and self._steps[-1][1] > 0:
+            self._steps[-1][1] -= 1
+            self._sum -= 1
+
     def total(self, now):
         """Return the events of the window."""
         oldest = int(now / self._width) - self.STEPS
@@ -133,3 +139,7 @@
             return False
         self._repeats.add(now)
         return True
+
+    def give_back(self):
+        """Take back a repeat that was not sent, for want of a place."""
+        self._repeats.remove()
--- a/boragegw/balancing/tests/test_decisions.py
+++ b/boragegw/balancing/tests/test_decisions.py
@@ -218,3 +218,16 @@
     for step in range(8):
         candidate.observe_report(report(slowness=5.0, at=1.0 + 0.01 * step))
     assert candidate.in_slow_spell
+
+
+def test_repeat_that_found_no_place_is_given_back():
+    """A hedge takes from the budget and then finds no quiet server. Counted as sent, it
+    would leave nothing for requests that really fail.
+    """
+    budget = balancing.RepeatBudget(0.0, 10.0)
+    for _ in range(100):
+        assert budget.take(1.0, 1)
+        budget.give_back()
+    assert budget.left(1.0, 1) == pytest.approx(8.0)
+    budget.give_back()
+    assert budget.left(1.0, 1) == pytest.approx(8.0)
--- a/boragegw/gateway/_asker.py
+++ b/boragegw/gateway/_asker.py
@@ -115,6 +115,7 @@
             heavy=search.heavy,
             now=now,
             random_state=self.random_state,
+            connected=self._connected(candidates),
         )
         try:
             for wave in waves:
@@ -236,6 +237,15 @@
         if place is not None:
             self.pool(place.server).release(place.connection)
 
+    def _connected(self, servers):
+        """Return the identities of the servers to which a connection is idle."""
+        pools = self._pools
+        return {
+            server.identity
+            for server in servers
+            if (pool := pools.get(server.listing.address)) is not None and pool.has_idle
+        }
+
     def pool(self, server):
         """Return the connections to ``server``."""
         key = server.listing.address
--- a/boragegw/gateway/_call.py
+++ b/boragegw/gateway/_call.py
@@ -71,6 +71,11 @@
     connection: object = None
     reason: str = ""
 
+    @property
+    def sent(self):
+        """Whether it got as far as a backend server."""
+        return self.server is not None
+
     @property
     def good(self):
         """Whether the answer can go to the caller as it is, with nothing to gain."""
--- a/boragegw/gateway/_carrier.py
+++ b/boragegw/gateway/_carrier.py
@@ -14,6 +14,9 @@
 DEADLINE_MARGIN = 0.015
 #: Share of the repeat budget that hedges leave to repeats after failures.
 HEDGE_RESERVE = 0.35
+#: Seconds until a hedge that found no quiet server is tried again. A slow spell or a
+#: full moment is over by then.
+HEDGE_PAUSE = 0.1
 #: Share of searches without room above which nothing is hedged: a hedge would take
 #: the room of a request that has none.
 HEDGE_FULLNESS = 0.05
@@ -138,6 +141,7 @@
         loop = asyncio.get_running_loop()
         state = call.state
         sends = {loop.create_task(self.sender.send(call))}
+        extra = set()
         hedge_at = self._hedge_time(call, state)
         winner = None
         try:
@@ -151,7 +155,9 @@
                     hedge_at = math.inf
                     if self._may_hedge(call, state, now):
                         self._note_extra("hedged", call, now)
-                        sends.add(loop.create_task(self.sender.send(call, hedge=True)))
+                        hedge = loop.create_task(self.sender.send(call, hedge=True))
+                        sends.add(hedge)
+                        extra.add(hedge)
                 done, _ = await asyncio.wait(
                     sends | {call.request.left}
                     if not call.request.left.done()
@@ -162,6 +168,9 @@
                 for send in done & sends:
                     sends.discard(send)
                     winner = self._judge(call, send.result(), winner)
+                    if send in extra and not send.result().sent:
+                        state.budget.give_back()
+                        hedge_at = self.now() + HEDGE_PAUSE
                 if winner is None and not sends and self._may_repeat(call, state):
                     self._note_extra("retried", call, self.now())
                     sends.add(loop.create_task(self.sender.send(call)))
--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -19,6 +19,10 @@
 #: Share of the expected time that must be left: the expectation is a median, and half
 #: of the requests take less.
 LEAST_SHARE = 0.7
+#: Share of the time left within which a slow server must be expected to answer. One at
+#: twelve times its usual time was given requests with 1.1 s left; all of them ran into
+#: their deadline, while a refusal would have brought them back to another one.
+SLOW_SHARE = 0.7
 
 
 class Sender:
@@ -112,6 +116,9 @@
                 heavy=call.route.kind is balancing.RouteKind.DOWNLOAD,
             )
             place = await self.asker.place(search)
+            if place is not None and self._is_too_slow(call, place):
+                self.asker.pool(place.server).release(place.connection)
+                place = None
             if place is not None or hedge:
                 return place
             if search.was_silent and silent_searches < SILENT_SEARCHES:
@@ -120,6 +127,15 @@
                 return None
             await asyncio.sleep(self.shedding.pause)
 
+    def _is_too_slow(self, call, place):
+        """Return whether a slow server would hardly answer in the time that is left."""
+        report = place.server.report
+        if report is None or report.slowness < balancing.SLOW:
+            return False
+        usual = call.state.hedging.usual
+        left = call.give_up_at - self.now()
+        return balancing.expected_wait(place.offer, usual) > SLOW_SHARE * left
+
     def _still_fits(self, call, place):
         """Return whether the place is still one, right before the send.
 
--- a/boragegw/gateway/_upstream.py
+++ b/boragegw/gateway/_upstream.py
@@ -308,6 +308,11 @@
         self._idle = collections.deque()
         self._open = 0
 
+    @property
+    def has_idle(self):
+        """Whether a connection waits for its next request."""
+        return bool(self._idle)
+
     async def acquire(self, limit):
         """Return an idle connection or a new one.
 
--- a/boragegw/platform/tests/test_load.py
+++ b/boragegw/platform/tests/test_load.py
@@ -63,3 +63,27 @@
     in_time, late, _ = await play(installation, per_second=240)
     assert in_time > 0.7
     assert late < 0.02
+
+
+def lasting(backend, factor):
+    """Make ``backend`` work ``factor`` times as slowly from now on."""
+    backend.noise_share = 1.0
+    backend.noise_factor = factor
+
+
+@in_memory
+async def test_servers_that_stay_far_too_slow_get_nothing_that_would_be_lost():
+    """Two of six servers work twenty times as slowly for seconds, and a burst fills the
+    others. Sent to a slow one that stood idle, 38 of 709 requests were bound to run into
+    their deadline; refused, their callers come back to another server.
+    """
+    installation = await noisy_world()
+    for name in ("i-0", "i-1"):
+        lasting(installation.backends[name], 20.0)
+    await asyncio.sleep(1.0)
+    _, late, _ = await play(installation, per_second=150)
+    assert late < 0.02
+    slow = len(installation.backends["i-0"].runs) + len(
+        installation.backends["i-1"].runs
+    )
+    assert slow < 0.02 * len(installation.runs())
