--- a/boragegw/gateway/tests/test_events.py
+++ b/boragegw/gateway/tests/test_events.py
@@ -2,6 +2,8 @@
 
 import json
 import os
+import pathlib
+import re
 
 from boragegw import gateway
 
@@ -80,3 +82,17 @@
     log, reader = open_log([1.0])
     os.close(reader)
     log.event("stopped")
+
+
+def test_every_kind_of_line_that_tells_of_trouble_is_documented():
+    """On call, a line that no page explains is worth little."""
+    package = pathlib.Path(gateway.__file__).parents[1]
+    page = (package.parent / "docs" / "OPERATIONS.md").read_text()
+    pattern = re.compile(r"log\.event\(\s*\"([a-z-]+)\"")
+    kinds = set()
+    for folder in ("gateway", "platform"):
+        for path in (package / folder).glob("_*.py"):
+            kinds.update(pattern.findall(path.read_text()))
+    missing = sorted(kind for kind in kinds if f"`{kind}`" not in page)
+    assert len(kinds) > 20
+    assert missing == []
