What cannot be read in a configuration costs only itself; uploads are served

Cause: one route of an unknown kind threw the whole configuration away, so nothing was served. The rule behind the mend: parts are read one by one and fields one by one; an unknown kind is carried as non-idempotent; a route without a readable service keeps its place and refuses as not run, since its requests would match a shorter prefix and run at another service; an unreadable warm-up rate or number of attempts counts as a small one. Each loss has a log line. A changed version, or routes or services that are no list, still leave the former configuration in force.

--- a/boragegw/gateway/_carrier.py
+++ b/boragegw/gateway/_carrier.py
@@ -27,6 +27,9 @@
 RETRY_QUARANTINED = 60.0
 #: Seconds that a caller is told to wait while no configuration is known yet.
 RETRY_UNCONFIGURED = 0.3
+#: Seconds that a caller is told to wait whose route leads to no service that is known:
+#: an operator has to publish another configuration first.
+RETRY_UNKNOWN_SERVICE = 2.0
 #: Seconds after the start for which requests wait for the first configuration: it was
 #: seen to come within 15 ms. Later the store is away, and requests are refused at once.
 FIRST_LEARNING = 0.3
@@ -104,10 +107,14 @@
             self.board.counters["requests.quarantined"] += 1
             self._refuse(request, request_id, writer, 503, RETRY_QUARANTINED)
             return None
-        name = self._next_service(route)
-        service = configuration.services[name]
+        service = configuration.services.get(self._next_service(route))
+        if service is None:
+            self.board.counters["requests.no_service"] += 1
+            self.log.event("unknown-service", route=route.name)
+            self._refuse(request, request_id, writer, 503, RETRY_UNKNOWN_SERVICE)
+            return None
         now = self.now()
-        state = self.state(name)
+        state = self.state(service.name)
         state.budget.observe_request(now)
         patience = self.dialect.patience(request.headers)
         if patience is None:
@@ -118,6 +125,9 @@
         )
 
     def _next_service(self, route):
+        """Return the name of the service whose turn it is, or ``None``."""
+        if not route.parts:
+            return None
         if len(route.parts) == 1:
             return route.parts[0].service
         known, turns = self._turns.get(route.name, (None, None))
--- a/boragegw/platform/_documents.py
+++ b/boragegw/platform/_documents.py
@@ -3,110 +3,29 @@
 import msgspec
 
 from boragegw import balancing, gateway
-from boragegw.platform import _names
-
-#: Attempts of a route that states none.
-DEFAULT_ATTEMPTS = 2
-#: Warm-up of a service that states none: it bears a lot at once.
-UNLIMITED_RATE = 1e6
-#: What a route may hold back at most if it states no timeout, in seconds.
-DEFAULT_TIMEOUT = 60.0
-
-
-class WirePart(msgspec.Struct):
-    """One part of ``traffic_split``."""
-
-    service: str
-    weight: float
-
-
-class WireRoute(msgspec.Struct):
-    """A route; ``route_type`` says what may be repeated."""
-
-    name: str
-    host: str
-    prefix: str
-    route_type: str
-    timeout_s: float = DEFAULT_TIMEOUT
-    target_latency_s: float = 1.0
-    priority: int = 0
-    max_attempts: int = DEFAULT_ATTEMPTS
-    service: str | None = None
-    traffic_split: list[WirePart] | None = None
-
-
-class WireService(msgspec.Struct):
-    """A service; ``max_conns`` is a backend server's bound for all callers."""
-
-    name: str
-    health_path: str = "/health"
-    max_conns: int = 100
-    warmup_s: float = 0.0
-    warmup_per_s: float = UNLIMITED_RATE
-
-
-class WireLimits(msgspec.Struct):
-    """Bounds on what a caller may send."""
-
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 64 << 20
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
-
-
-class WireConfiguration(msgspec.Struct):
-    """The operators' configuration, in full."""
-
-    version: str
-    routes: list[WireRoute]
-    services: list[WireService]
-    limits: WireLimits = msgspec.field(default_factory=WireLimits)
-
-
-class WireInfo(msgspec.Struct):
-    """What does not change while a backend server lives."""
-
-    service: str
-    zone: str
-    slots: int
-    version: str = ""
-
-
-class WireStatus(msgspec.Struct):
-    """What changes; ``seq`` counts its reports since its start."""
-
-    state: str
-    seq: int = 0
-    warmup_left_s: float = 0.0
-
-
-class WireServer(msgspec.Struct):
-    """A backend server's entry; ``born`` is the Unix millisecond of its start."""
-
-    address: str
-    info: WireInfo
-    status: WireStatus
-    born: int = 0
-
+from boragegw.platform import _names, _records
 
+#: An ``upload`` is a large body that may run once at most.
 KINDS = {
     "safe": balancing.RouteKind.SAFE,
     "unsafe": balancing.RouteKind.NON_IDEMPOTENT,
+    "upload": balancing.RouteKind.NON_IDEMPOTENT,
     "download": balancing.RouteKind.DOWNLOAD,
 }
 STATES = frozenset(("ready", "draining"))
 
 
 class DocumentDecoder(gateway.Decoder):
-    """Reads records; what cannot be read is logged and names nothing.
+    """Reads records; what cannot be read is logged and costs only itself.
 
     :param log: an :class:`~boragegw.gateway.EventLog`.
     """
 
     def __init__(self, log):
         self.log = log
-        self._server = msgspec.json.Decoder(WireServer, strict=True)
-        self._configuration = msgspec.json.Decoder(WireConfiguration, strict=True)
+        self._server = msgspec.json.Decoder(_records.WireServer)
+        self._configuration = msgspec.json.Decoder(_records.WireConfiguration)
+        self._parts = _records.PartReader(log)
 
     def listing(self, record):
         """Return the backend server in a record, or ``None``."""
@@ -124,7 +43,7 @@
         if record.key != _names.CONFIGURATION_KEY:
             return None
         try:
-            return _configuration(self._configuration.decode(record.value))
+            return self._read_configuration(self._configuration.decode(record.value))
         except (msgspec.DecodeError, ValueError) as error:
             self.log.event("invalid-configuration", reason=str(error))
             return None
@@ -135,6 +54,45 @@
             return None
         return record.key.removeprefix(_names.EVACUATION_PREFIX)
 
+    def _read_configuration(self, wire):
+        read = self._parts.read
+        version = _version(wire.version)
+        services = [read(_records.WireService, raw) for raw in wire.services]
+        routes = [read(_records.WireRoute, raw) for raw in wire.routes]
+        limits = read(_records.WireLimits, wire.limits) or _records.WireLimits()
+        return balancing.Configuration(
+            version=version,
+            routes=balancing.RouteTable(self._route(r) for r in routes if r),
+            services={s.name: _service(s) for s in services if s},
+            limits=_limits(limits),
+        )
+
+    def _route(self, wire):
+        """Return a route; one whose services cannot be read keeps its place.
+
+        Guards against requests that run at the wrong service: without the route they
+        would match a shorter prefix.
+        """
+        return balancing.Route(
+            name=wire.name,
+            host=balancing.bare_host(wire.host),
+            prefix=wire.prefix,
+            kind=self._kind(wire),
+            timeout=wire.timeout_s,
+            target_latency=wire.target_latency_s,
+            priority=wire.priority,
+            max_attempts=wire.max_attempts,
+            parts=_parts(wire),
+        )
+
+    def _kind(self, wire):
+        """Return what may be repeated; of an unknown kind nothing may."""
+        kind = KINDS.get(wire.route_type)
+        if kind is None:
+            self.log.event("unknown-kind", route=wire.name, stated=wire.route_type)
+            return balancing.RouteKind.NON_IDEMPOTENT
+        return kind
+
 
 def _listing(identity, wire):
     host, _, port = wire.address.rpartition(":")
@@ -156,17 +114,6 @@
     )
 
 
-def _configuration(wire):
-    services = {service.name: _service(service) for service in wire.services}
-    routes = [_route(route, services) for route in wire.routes]
-    return balancing.Configuration(
-        version=_version(wire.version),
-        routes=balancing.RouteTable(routes),
-        services=services,
-        limits=_limits(wire.limits),
-    )
-
-
 def _version(text):
     if not text.startswith("r") or not text[1:].isdigit():
         raise ValueError(f"version {text!r}: expected r and a number")
@@ -183,24 +130,15 @@
     )
 
 
-def _route(wire, services):
-    if wire.route_type not in KINDS:
-        raise ValueError(f"route_type {wire.route_type!r}: expected {sorted(KINDS)}")
-    parts = wire.traffic_split or [WirePart(wire.service or "", 1.0)]
-    for part in parts:
-        if part.service not in services:
-            raise ValueError(f"route {wire.name}: unknown service {part.service!r}")
-    return balancing.Route(
-        name=wire.name,
-        host=balancing.bare_host(wire.host),
-        prefix=wire.prefix,
-        kind=KINDS[wire.route_type],
-        timeout=wire.timeout_s,
-        target_latency=wire.target_latency_s,
-        priority=wire.priority,
-        max_attempts=max(1, wire.max_attempts),
-        parts=tuple(balancing.WeightedService(p.service, p.weight) for p in parts),
-    )
+def _parts(wire):
+    if wire.traffic_split:
+        return tuple(
+            balancing.WeightedService(part.service, part.weight)
+            for part in wire.traffic_split
+        )
+    if wire.service:
+        return (balancing.WeightedService(wire.service, 1.0),)
+    return ()
 
 
 def _limits(wire):
