Servers that were just full are asked after the others

Ruled out: the probe budget (it was not spent), the health checks.

Change: a server that has just said that it has no room goes behind those that fail, for 0.12 s. In the project's own load test the share of refused callers falls from 0.22 to 0.05 (half of six servers shed 0.55, 120 requests a second).

--- a/boragegw/balancing/_asking.py
+++ b/boragegw/balancing/_asking.py
@@ -46,6 +46,11 @@
     :param connection_cost: added in the order of asking where a new connection would
         be needed: it takes a round trip and 1 ms of the server.
     :param failure_cost: added in proportion to the share of recent failures.
+    :param full_cost: added in the order of asking for a server that has just said that
+        it has no room, less with the age of its word. Guards against requests that
+        ask the same full servers again and again while others have room: those that
+        turn work away now and then stand last in the order, and with a service that
+        seems full only the first two were asked.
     :param memory: seconds for which an old report counts in the order of asking.
     :param slow_weight: cost of a server that works n times as slowly is 1 plus this
         times (n - 1). A request keeps the pace at which it begins: those that began
@@ -63,6 +68,7 @@
         "heavy_distance_cost": utils.Interval(float, 0, 100),
         "connection_cost": utils.Interval(float, 0, 10),
         "failure_cost": utils.Interval(float, 0, 100),
+        "full_cost": utils.Interval(float, 0, 100),
         "memory": utils.Interval(float, 0, 10),
         "slow_weight": utils.Interval(float, 0, 1),
         "fill_share": utils.Interval(float, 0.1, 10),
@@ -78,6 +84,7 @@
         heavy_distance_cost=1.0,
         connection_cost=0.15,
         failure_cost=6.0,
+        full_cost=4.0,
         memory=0.12,
         slow_weight=0.85,
         fill_share=0.8,
@@ -90,6 +97,7 @@
         self.heavy_distance_cost = heavy_distance_cost
         self.connection_cost = connection_cost
         self.failure_cost = failure_cost
+        self.full_cost = full_cost
         self.memory = memory
         self.slow_weight = slow_weight
         self.fill_share = fill_share
@@ -135,8 +143,14 @@
             guess += 0.2 + self._distance(heavy)
         guess += self.failure_cost * server.failures.share(now)
         report = server.report
-        if report is not None and now - report.received_at < self.memory:
-            guess += 0.5 * (self._load_cost(server, report) - 1.0)
+        if report is None:
+            return guess
+        age = now - report.received_at
+        if age >= self.memory:
+            return guess
+        guess += 0.5 * (self._load_cost(server, report) - 1.0)
+        if not self._has_room(server, report):
+            guess += self.full_cost * (1.0 - age / self.memory)
         return guess
 
     def _distance(self, heavy):
--- a/boragegw/balancing/tests/test_decisions.py
+++ b/boragegw/balancing/tests/test_decisions.py
@@ -76,6 +76,27 @@
     assert policy.judge(failing, 20.0).cost < policy.judge(slow, 20.0).cost
 
 
+def test_servers_that_were_just_full_are_asked_after_those_that_turn_work_away():
+    """Half of a service turns away a part of its work and the rest is full. A request
+    that may ask two servers asked the same two full ones every time, found no room and
+    was refused, while the others would have served one in two.
+    """
+    policy = balancing.AskingPolicy()
+    full = [server(f"f{n}", report=report(4, at=0.99)) for n in range(4)]
+    shedding = [server(f"s{n}", report=report(1, at=0.5)) for n in range(4)]
+    for candidate in shedding:
+        for number in range(8):
+            candidate.failures.observe(number % 2, 0.9)
+    asked = policy.waves(
+        [*full, *shedding],
+        allowed=2,
+        fullness=0.9,
+        now=1.0,
+        random_state=random.Random(1),
+    )
+    assert {s.identity for wave in asked for s in wave} <= {f"s{n}" for n in range(4)}
+
+
 def test_full_service_is_asked_less():
     policy = balancing.AskingPolicy(most=8, wave=2)
     servers = [server(str(n)) for n in range(12)]
--- a/boragegw/platform/tests/test_load.py
+++ b/boragegw/platform/tests/test_load.py
@@ -87,3 +87,19 @@
         installation.backends["i-1"].runs
     )
     assert slow < 0.02 * len(installation.runs())
+
+
+@in_memory
+async def test_servers_that_turn_some_work_away_are_used_once_the_others_are_full():
+    """Three of six servers turn away half of what they get, for seconds, under a load
+    that the other three cannot bear alone. The processes learn to ask those last, and
+    a service that seems full is asked little: callers were refused for want of room
+    although half of the servers had some: 0.22 of them, against 0.05 if servers that
+    were just full are asked after the others.
+    """
+    installation = await noisy_world()
+    for name in ("i-0", "i-1", "i-2"):
+        installation.backends[name].faults.not_run = 503
+        installation.backends[name].faults.not_run_share = 0.55
+    _, _, refused = await play(installation, per_second=120)
+    assert refused < 0.1
--- a/boragegw/standins/_wire_backend.py
+++ b/boragegw/standins/_wire_backend.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import random
 
 import httptools
 
@@ -11,6 +12,7 @@
     """What goes wrong.
 
     :param not_run: refuse requests as not run, with this status.
+    :param not_run_share: share of the requests that are refused then.
     :param reset_after_run: run requests and reset the connection.
     :param reset_before_run: reset the connection when a request arrives.
     :param silent: never answer requests.
@@ -23,6 +25,7 @@
     """
 
     not_run: int = 0
+    not_run_share: float = 1.0
     reset_after_run: bool = False
     reset_before_run: bool = False
     silent: bool = False
@@ -54,6 +57,7 @@
         self.probes = 0
         self.cancelled = []
         self.deadlines = {}
+        self.random_state = random.Random(identity)
         self._connections = set()
 
     async def start(self):
@@ -158,7 +162,7 @@
         if faults.reset_before_run:
             self.transport.abort()
             return
-        if faults.not_run:
+        if faults.not_run and backend.random_state.random() < faults.not_run_share:
             self._answer(faults.not_run, [*echo, ("x-not-executed", "1")], b"")
             return
         if faults.crash_on and self.target == faults.crash_on:
--- a/boragegw/standins/_wire_noise.py
+++ b/boragegw/standins/_wire_noise.py
@@ -1,7 +1,6 @@
 """A stand-in of a backend server that shares its machine with noisy neighbours."""
 
 import asyncio
-import random
 
 from boragegw.standins import _wire_backend
 
@@ -36,7 +35,6 @@
         self.spell = spell
         self.knee = knee
         self.knee_factor = knee_factor
-        self._random_state = random.Random(identity)
         self._places = asyncio.Semaphore(slots)
         self._running = 0
         self._waiting = 0
@@ -56,9 +54,9 @@
     def _pace_now(self):
         now = asyncio.get_running_loop().time()
         if now >= self._spell_until:
-            slow = self._random_state.random() < self.noise_share
+            slow = self.random_state.random() < self.noise_share
             self._pace = self.noise_factor if slow else 1.0
-            self._spell_until = now + self.spell * self._random_state.uniform(0.5, 1.5)
+            self._spell_until = now + self.spell * self.random_state.uniform(0.5, 1.5)
         return self._pace
 
     async def run(self):
