Candidates are asked one by one

Hypothesis: probes are dear for the third customer (2.4 a request), and three of four servers are not in a slow spell, so the second question of a wave mostly buys nothing.

--- a/boragegw/balancing/_asking.py
+++ b/boragegw/balancing/_asking.py
@@ -77,7 +77,7 @@
     def __init__(
         self,
         data_centre="",
-        wave=2,
+        wave=1,
         most=8,
         quiet_cost=1.5,
         distance_cost=0.15,
