--- a/boragegw/gateway/__init__.py
+++ b/boragegw/gateway/__init__.py
@@ -19,8 +19,9 @@
     Source,
     SourceError,
 )
-from boragegw.gateway._membership import Life, Member, Membership
+from boragegw.gateway._membership import Membership
 from boragegw.gateway._metrics import CONTENT_TYPE, COUNTERS, Histogram, exposition
+from boragegw.gateway._peer_messages import Life, Member
 from boragegw.gateway._process import Gateway, GatewaySettings
 from boragegw.gateway._sender import Sender
 from boragegw.gateway._upstream import Answer, Connection, ExchangeError, Failure, Pool
--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -4,7 +4,7 @@
 import math
 
 from boragegw import utils
-from boragegw.gateway import _knowledge, _membership
+from boragegw.gateway import _knowledge, _peer_messages
 
 #: Seconds that a watch waits for a change: at first, and at most after it has doubled
 #: with each one that ended well. Calls to the store are scarce, and a silent connection
@@ -133,9 +133,9 @@
         return self._first_of_each(self.membership.alive())
 
     def _first_of_each(self, members):
-        staying = [m for m in members if m.life != _membership.Life.LEAVING]
+        staying = [m for m in members if m.life != _peer_messages.Life.LEAVING]
         own = self.membership.own
-        if own.life != _membership.Life.LEAVING:
+        if own.life != _peer_messages.Life.LEAVING:
             staying.append(own)
         groups = {}
         for member in staying:
@@ -154,7 +154,7 @@
             for member in self.membership.alive()
             if member.watches_store
             and member.reads_store
-            and member.life != _membership.Life.LEAVING
+            and member.life != _peer_messages.Life.LEAVING
             and self._avoided.get(member.name, -math.inf) <= now
         ]
         if not peers:
--- a/boragegw/gateway/_membership.py
+++ b/boragegw/gateway/_membership.py
@@ -1,11 +1,12 @@
 """Which gateway processes live: heartbeats between them, in typed datagrams."""
 
 import asyncio
-import enum
 import random
 
 import msgspec
 
+from boragegw.gateway import _peer_messages
+
 #: Seconds between heartbeats.
 INTERVAL = 0.5
 #: Seconds without news after which a process counts as gone. Three heartbeats may be
@@ -40,89 +41,6 @@
 FULL_EVERY = 4
 
 
-class Life(enum.IntEnum):
-    """Where a process is in its life."""
-
-    STARTING = 0
-    READY = 1
-    LEAVING = 2
-
-
-class Member(msgspec.Struct, array_like=True, omit_defaults=True):
-    """What a process says of itself.
-
-    :param incarnation: drawn at its start.
-    :param beat: grows with each heartbeat.
-    :param front: address for callers, ``host:port``.
-    :param peer: address for other processes, ``host:port``.
-    :param revision: latest revision of the platform's store that it knows.
-    :param reads_store: whether the store answers it.
-    :param watches_store: whether it watches the store itself.
-    :param link: megabits a second of its machine's link.
-    """
-
-    name: str
-    incarnation: int
-    beat: int
-    data_centre: str
-    front: str
-    peer: str
-    life: Life = Life.STARTING
-    revision: int = 0
-    reads_store: bool = True
-    watches_store: bool = False
-    link: float = 1000.0
-
-
-class News(msgspec.Struct, array_like=True):
-    """What the sender has heard of another process.
-
-    :param age: seconds since it was heard.
-    """
-
-    member: Member
-    age: float
-
-
-class Heartbeat(msgspec.Struct, array_like=True, tag="h"):
-    """A process's own state and news of others.
-
-    :param wants_answer: the sender has just started and knows nobody.
-    """
-
-    sender: Member
-    news: list[News] = []
-    wants_answer: bool = False
-
-
-class Pulse(msgspec.Struct, array_like=True, omit_defaults=True):
-    """What changes of a process from beat to beat, for those that know the rest.
-
-    :param incarnation: names the process.
-    :param age: seconds since the sender has heard it; 0 for the sender itself.
-    """
-
-    incarnation: int
-    beat: int
-    life: Life
-    revision: int
-    reads_store: bool
-    watches_store: bool
-    age: float = 0.0
-
-
-class Pulses(msgspec.Struct, array_like=True, tag="p"):
-    """The sender's pulse, and with a large fleet those of some others."""
-
-    pulses: list[Pulse]
-
-
-class Crash(msgspec.Struct, array_like=True, tag="c"):
-    """A backend server crashed while it ran the request with this fingerprint."""
-
-    fingerprint: bytes
-
-
 class Known:
     """Another process, when it was last heard of, and since when it is known."""
 
@@ -158,7 +76,7 @@
         self._lost_sight = set()
         self._transport = None
         self._encode = msgspec.msgpack.Encoder().encode
-        self._decode = msgspec.msgpack.Decoder(Heartbeat | Pulses | Crash).decode
+        self._decode = msgspec.msgpack.Decoder(_peer_messages.Datagram).decode
 
     # Views.
 
@@ -168,8 +86,8 @@
 
     def ready(self):
         """Return the members that take requests, this one included if it does."""
-        members = [m for m in self.alive() if m.life == Life.READY]
-        if self.own.life == Life.READY:
+        members = [m for m in self.alive() if m.life == _peer_messages.Life.READY]
+        if self.own.life == _peer_messages.Life.READY:
             members.append(self.own)
         return members
 
@@ -203,7 +121,7 @@
 
     def spread_crash(self, fingerprint):
         """Tell all in sight that a request has crashed a backend server."""
-        datagram = self._encode(Crash(fingerprint))
+        datagram = self._encode(_peer_messages.Crash(fingerprint))
         for member in self.alive():
             self._send(_pair(member.peer), datagram)
 
@@ -239,7 +157,7 @@
         if len(fresh) > FANOUT:
             chosen = self.random_state.sample(fresh, CROWD_NEWS)
             pulses += [_pulse_of(k.member, round(now - k.heard_at, 2)) for k in chosen]
-        return self._encode(Pulses(pulses))
+        return self._encode(_peer_messages.Pulses(pulses))
 
     def _heartbeat(self, most):
         """Return a heartbeat with news of at most ``most`` others, newcomers first."""
@@ -249,9 +167,11 @@
         newcomers = self._newcomers(fresh)[:MUCH_NEWS]
         others = [k for k in fresh if k not in newcomers]
         chosen = newcomers + others[: max(0, most - len(newcomers))]
-        news = [News(k.member, round(now - k.heard_at, 3)) for k in chosen]
+        news = [
+            _peer_messages.News(k.member, round(now - k.heard_at, 3)) for k in chosen
+        ]
         alone = not fresh
-        return self._encode(Heartbeat(self.own, news, alone))
+        return self._encode(_peer_messages.Heartbeat(self.own, news, alone))
 
     def _targets(self):
         alive = [_pair(m.peer) for m in self.alive()]
@@ -280,11 +200,11 @@
         except (msgspec.DecodeError, msgspec.ValidationError):
             self.board.counters["peers.datagrams_dropped"] += 1
             return
-        if isinstance(message, Crash):
+        if isinstance(message, _peer_messages.Crash):
             if self.on_crash is not None:
                 self.on_crash(message.fingerprint)
             return
-        if isinstance(message, Pulses):
+        if isinstance(message, _peer_messages.Pulses):
             for pulse in message.pulses:
                 self._take_pulse(pulse)
             self._changed()
@@ -374,7 +294,8 @@
         maybe = (
             1
             for k in self._known.values()
-            if k.member.life != Life.LEAVING or now - k.heard_at < self._silence
+            if k.member.life != _peer_messages.Life.LEAVING
+            or now - k.heard_at < self._silence
         )
         known = 1 + sum(maybe)
         if now < self._started_at + LEARNING:
@@ -385,7 +306,7 @@
 
 
 def _pulse_of(member, age):
-    return Pulse(
+    return _peer_messages.Pulse(
         member.incarnation,
         member.beat,
         member.life,
--- a/boragegw/gateway/_process.py
+++ b/boragegw/gateway/_process.py
@@ -15,6 +15,7 @@
     _follower,
     _front,
     _membership,
+    _peer_messages,
 )
 
 #: Seconds between looks at the sources of knowledge and at idle connections.
@@ -117,7 +118,7 @@
         self.catalogue = _catalogue.Catalogue(
             self.board, decoder, on_addresses_gone=self.asker.forget, **shared
         )
-        self.own = _membership.Member(
+        self.own = _peer_messages.Member(
             name=settings.name,
             incarnation=int.from_bytes(os.urandom(8), "big") >> 1,
             beat=0,
@@ -225,8 +226,8 @@
             action()
 
     def _note_ready(self):
-        if self.board.ready and self.own.life == _membership.Life.STARTING:
-            self.own.life = _membership.Life.READY
+        if self.board.ready and self.own.life == _peer_messages.Life.STARTING:
+            self.own.life = _peer_messages.Life.READY
             self.log.event("ready", position=self.catalogue.position)
             self.membership.announce()
 
@@ -251,7 +252,7 @@
         """
         started = self.now()
         self.board.stopping = True
-        self.own.life = _membership.Life.LEAVING
+        self.own.life = _peer_messages.Life.LEAVING
         self.own.watches_store = False
         self.membership.announce()
         self.log.event("stopping", connections=len(self.connections))
