Servers that join a service are tried first by some processes

Cause: while there is room everywhere, a process asks servers to which it has a connection, in its own data centre, first; a server that has joined has none and is never reached. Now a joined server is drawn by about four processes of the fleet, which try it before idle ones until something was sent there.

--- a/boragegw/balancing/_asking.py
+++ b/boragegw/balancing/_asking.py
@@ -14,6 +14,9 @@
 #: Slots from which a server counts as one that slows down before it is full; with
 #: fewer, one slot kept free would cost too much of it.
 KNEE_SLOTS = 4
+#: What puts a server that is to be tried first before idle ones, but not before any
+#: other once it is full.
+INTRODUCTION = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,6 +55,9 @@
         turn work away now and then stand last in the order, and with a service that
         seems full only the first two were asked.
     :param memory: seconds for which an old report counts in the order of asking.
+    :param introductions: processes that try a server first which has joined. Guards
+        against new servers that get nothing: while there is room everywhere, those
+        to which connections are open always come first.
     :param slow_weight: cost of a server that works n times as slowly is 1 plus this
         times (n - 1). A request keeps the pace at which it begins: those that began
         at a reported 5 took 4.4 times as long as those at 1.
@@ -70,6 +76,7 @@
         "failure_cost": utils.Interval(float, 0, 100),
         "full_cost": utils.Interval(float, 0, 100),
         "memory": utils.Interval(float, 0, 10),
+        "introductions": utils.Interval(float, 0, 1000),
         "slow_weight": utils.Interval(float, 0, 1),
         "fill_share": utils.Interval(float, 0.1, 10),
     }
@@ -86,6 +93,7 @@
         failure_cost=6.0,
         full_cost=4.0,
         memory=0.12,
+        introductions=4.0,
         slow_weight=0.85,
         fill_share=0.8,
     ):
@@ -99,9 +107,18 @@
         self.failure_cost = failure_cost
         self.full_cost = full_cost
         self.memory = memory
+        self.introductions = introductions
         self.slow_weight = slow_weight
         self.fill_share = fill_share
 
+    def introduces(self, processes, random_state):
+        """Return whether this process tries a server first that has just joined.
+
+        :param processes: processes that may be alive, this one included.
+        """
+        self._check_params()
+        return random_state.random() * processes < self.introductions
+
     def waves(
         self,
         candidates,
@@ -139,6 +156,8 @@
         """Return a guess of the cost from what is known without asking."""
         load = server.own_in_flight / server.slots
         guess = load + 0.3 * random_state.random()
+        if server.tried_first:
+            guess -= INTRODUCTION
         if server.listing.data_centre != self.data_centre:
             guess += 0.2 + self._distance(heavy)
         guess += self.failure_cost * server.failures.share(now)
--- a/boragegw/balancing/_servers.py
+++ b/boragegw/balancing/_servers.py
@@ -107,6 +107,7 @@
     :param removed: it is no longer listed.
     :param slow_reports: reports in a row, :data:`SPELL` apart, that it is slow.
     :param slow_counted_at: when the last of them was counted; monotonic seconds.
+    :param tried_first: it has joined, and this process is to try it before the others.
     """
 
     listing: Listing
@@ -119,6 +120,7 @@
     removed: bool = False
     slow_reports: int = 0
     slow_counted_at: float = -math.inf
+    tried_first: bool = False
     failures: FailureShare = dataclasses.field(default_factory=FailureShare)
 
     @property
--- a/boragegw/gateway/_asker.py
+++ b/boragegw/gateway/_asker.py
@@ -246,6 +246,11 @@
             if (pool := pools.get(server.listing.address)) is not None and pool.has_idle
         }
 
+    def welcome(self, server):
+        """Decide whether this process tries a server first that has just joined."""
+        processes = self.board.processes
+        server.tried_first = self.policy.introduces(processes, self.random_state)
+
     def pool(self, server):
         """Return the connections to ``server``."""
         key = server.listing.address
--- a/boragegw/gateway/_catalogue.py
+++ b/boragegw/gateway/_catalogue.py
@@ -15,14 +15,17 @@
 
     :param decoder: a :class:`Decoder`.
     :param on_addresses_gone: called with addresses that are no longer listed.
+    :param on_joined: called with each :class:`~boragegw.balancing.Server` that is
+        listed after the first reading.
     """
 
-    def __init__(self, board, decoder, *, now, log, on_addresses_gone):
+    def __init__(self, board, decoder, *, now, log, on_addresses_gone, on_joined):
         self.board = board
         self.decoder = decoder
         self.now = now
         self.log = log
         self.on_addresses_gone = on_addresses_gone
+        self.on_joined = on_joined
         self.on_change = None
         self.trouble_at = float("-inf")
         self._records = {}
@@ -192,6 +195,8 @@
         if listing.cold_for > 0:
             server.cold_until = now + listing.cold_for
         self.board.servers[record.key] = server
+        if self._position >= 0:
+            self.on_joined(server)
         self.log.event(
             "server-listed",
             server=listing.identity,
--- a/boragegw/gateway/_process.py
+++ b/boragegw/gateway/_process.py
@@ -116,7 +116,11 @@
             **drawn,
         )
         self.catalogue = _catalogue.Catalogue(
-            self.board, decoder, on_addresses_gone=self.asker.forget, **shared
+            self.board,
+            decoder,
+            on_addresses_gone=self.asker.forget,
+            on_joined=self.asker.welcome,
+            **shared,
         )
         self.own = _peer_messages.Member(
             name=settings.name,
--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -87,6 +87,7 @@
             waited = now - call.request.arrived
             self.board.histograms["placing_seconds"].observe(waited)
         server.own_in_flight += 1
+        server.tried_first = False
         try:
             outcome = await self._exchange(call, place, now)
         except asyncio.CancelledError:
--- a/boragegw/platform/tests/test_load.py
+++ b/boragegw/platform/tests/test_load.py
@@ -65,6 +65,24 @@
     assert late < 0.02
 
 
+@in_memory
+async def test_server_that_joins_an_idle_service_gets_work():
+    """Operators add servers to a service that has room. Its processes have connections
+    to the old ones and prefer those, so the new ones, and a new release with them, got
+    nothing for as long as the load stayed low.
+    """
+    installation = await noisy_world(backends=6, gateways=6)
+    await play(installation, per_second=30, seconds=3.0, gateways=6)
+    for number in range(4):
+        name = f"i-new-{number}"
+        await installation.add_backend(
+            name, data_centre=f"dc-{number}", kind=standins.NoisyBackend
+        )
+    await play(installation, per_second=30, seconds=4.0, gateways=6)
+    for number in range(4):
+        assert installation.backends[f"i-new-{number}"].runs
+
+
 def lasting(backend, factor):
     """Make ``backend`` work ``factor`` times as slowly from now on."""
     backend.noise_share = 1.0
