--- a/boragegw/balancing/__init__.py
+++ b/boragegw/balancing/__init__.py
@@ -9,6 +9,7 @@
 )
 from boragegw.balancing._budget import ProbeBudget, RepeatBudget, SlidingCount
 from boragegw.balancing._hedging import AgeHedgePolicy
+from boragegw.balancing._pace import PaceGauge
 from boragegw.balancing._quarantine import QuarantinePolicy
 from boragegw.balancing._routing import (
     CallerLimits,
@@ -42,6 +43,7 @@
     "Listing",
     "LoadReport",
     "Offer",
+    "PaceGauge",
     "ProbeBudget",
     "QuarantinePolicy",
     "RepeatBudget",
--- a/boragegw/balancing/_asking.py
+++ b/boragegw/balancing/_asking.py
@@ -146,7 +146,14 @@
                 guess += self.connection_cost
             return guess
 
-        order = sorted(candidates, key=rank)
+        # A question to a server that reports nothing takes a new connection, and its
+        # answer does not tell whether there is room.
+        worth_asking = (
+            server
+            for server in candidates
+            if server.report is not None or self._has_room(server, now)
+        )
+        order = sorted(worth_asking, key=rank)
         wanted = max(self.wave, round(self.most * (1.0 - 1.5 * fullness)))
         most = order[: min(wanted, allowed)]
         for start in range(0, len(most), self.wave):
@@ -161,14 +168,11 @@
         if server.listing.data_centre != self.data_centre:
             guess += 0.2 + self._distance(heavy)
         guess += self.failure_cost * server.failures.share(now)
-        report = server.report
-        if report is None:
-            return guess
-        age = now - report.received_at
+        age = now - server.slowness_at
         if age >= self.memory:
             return guess
-        guess += 0.5 * (self._load_cost(server, report) - 1.0)
-        if not self._has_room(server, report):
+        guess += 0.5 * (self._load_cost(server, now) - 1.0)
+        if not self._has_room(server, now):
             guess += self.full_cost * (1.0 - age / self.memory)
         return guess
 
@@ -180,20 +184,16 @@
 
         :param heavy: the answer is large.
         """
-        report = server.report
-        if report is None:
-            cost = 1.0 + server.own_in_flight / server.slots
-        else:
-            cost = self._load_cost(server, report)
+        cost = self._load_cost(server, now)
         cost += self.failure_cost * server.failures.share(now)
-        room = self._has_room(server, report)
+        room = self._has_room(server, now)
         quiet = room and cost <= self.quiet_cost
         if server.listing.data_centre != self.data_centre:
             cost += self._distance(heavy)
             quiet = quiet and not heavy
         return Offer(server, cost, quiet, room)
 
-    def _has_room(self, server, report):
+    def _has_room(self, server, now):
         """Return whether a request would begin at once and at the usual pace.
 
         Guards against slots that are taken for five times as long: under a burst,
@@ -201,25 +201,33 @@
         the slots as four others. Such a spell is over before another server's slot
         would have been free again, so nothing is lost by passing it over.
         """
-        if server.in_slow_spell:
+        if server.in_slow_spell(now):
             return False
-        slots = server.slots if report is None else max(1, report.slots)
-        ahead = server.own_in_flight
-        if report is not None:
-            ahead = max(ahead, report.running + report.waiting)
+        slots, ahead = self._occupancy(server)
         return ahead < (slots if slots < KNEE_SLOTS else int(self.fill_share * slots))
 
-    def _load_cost(self, server, report):
-        """Return the expected time there, in multiples of the usual time.
+    def _load_cost(self, server, now):
+        """Return the expected time there, in multiples of the usual time."""
+        slots, ahead = self._occupancy(server)
+        queueing = max(0, ahead + 1 - slots) / slots
+        slowness = 1.0
+        if server.report is not None or now - server.slowness_at < self.memory:
+            slowness += self.slow_weight * (server.slowness - 1.0)
+        return slowness * (1.0 + queueing)
+
+    @staticmethod
+    def _occupancy(server):
+        """Return a server's slots and the requests that it holds.
 
         Requests sent by this process since the report count as if reported: a burst
         of requests that read the same report would otherwise choose the same server.
+        Of a server that reports nothing only those are known.
         """
-        slots = max(1, report.slots)
+        report = server.report
+        if report is None:
+            return server.slots, server.own_in_flight
         ahead = max(report.running + report.waiting, server.own_in_flight)
-        queueing = max(0, ahead + 1 - slots) / slots
-        slowness = 1.0 + self.slow_weight * (report.slowness - 1.0)
-        return slowness * (1.0 + queueing)
+        return max(1, report.slots), ahead
 
     @staticmethod
     def best(offers):
--- a/boragegw/balancing/_servers.py
+++ b/boragegw/balancing/_servers.py
@@ -14,6 +14,8 @@
 SLOW = 2.5
 #: Seconds after which a slow report counts anew: a server's speed changes each 150 ms.
 SPELL = 0.15
+#: Seconds after which the slow spell of a server that reports no load counts as over.
+SPELL_MEMORY = 0.3
 #: Slow reports in a row that show more than a short spell. Where a third of all spells
 #: are slow, three more after the first are slow by chance 4 times in 100.
 LASTING_REPORTS = 4
@@ -100,7 +102,10 @@
     """One backend server and what this process has learned of it.
 
     :param own_in_flight: requests of this process that it holds.
-    :param report: its last load report.
+    :param report: its last load report, ``None`` if it tells none.
+    :param slowness: how long work took there when last seen, as a multiple of the
+        usual time.
+    :param slowness_at: when that was; monotonic seconds.
     :param cold_until: monotonic seconds until which it is cold.
     :param unwell_until: its health check fails; monotonic seconds.
     :param moved: its address answered as another server.
@@ -113,6 +118,8 @@
     listing: Listing
     own_in_flight: int = 0
     report: LoadReport | None = None
+    slowness: float = 1.0
+    slowness_at: float = -math.inf
     cold_until: float = -math.inf
     unwell_until: float = -math.inf
     unreachable_until: float = -math.inf
@@ -138,19 +145,26 @@
         """Whether it must get no new work, whatever its load."""
         return self.removed or self.moved or self.listing.draining
 
-    @property
-    def in_slow_spell(self):
+    def in_slow_spell(self, now):
         """Whether it is slow and will probably not stay so."""
+        if self.report is None and now - self.slowness_at > SPELL_MEMORY:
+            return False
         return 0 < self.slow_reports < LASTING_REPORTS
 
     def observe_report(self, report):
         """Take a load report that has just arrived."""
         self.report = report
-        if report.slowness < SLOW:
+        self.observe_slowness(report.slowness, report.received_at)
+
+    def observe_slowness(self, slowness, now):
+        """Take how long work takes there now, as a multiple of the usual time."""
+        self.slowness = slowness
+        self.slowness_at = now
+        if slowness < SLOW:
             self.slow_reports = 0
-        elif report.received_at - self.slow_counted_at >= SPELL:
+        elif now - self.slow_counted_at >= SPELL:
             self.slow_reports += 1
-            self.slow_counted_at = report.received_at
+            self.slow_counted_at = now
 
     def is_cold(self, now):
         """Whether it bears only its warm-up rate."""
--- a/boragegw/balancing/tests/test_decisions.py
+++ b/boragegw/balancing/tests/test_decisions.py
@@ -7,11 +7,14 @@
 from boragegw import balancing, utils
 
 
-def server(name="s", data_centre="dc-a", slots=6, **fields):
+def server(name="s", data_centre="dc-a", slots=6, report=None, **fields):
     listing = balancing.Listing(
         name, "app", (name, 1), data_centre, "v1", slots, False, 0.0
     )
-    return balancing.Server(listing, **fields)
+    made = balancing.Server(listing, **fields)
+    if report is not None:
+        made.observe_report(report)
+    return made
 
 
 def report(running=0, waiting=0, slots=6, slowness=1.0, at=0.0):
@@ -228,7 +231,7 @@
     candidate.observe_report(report(slowness=1.0, at=1.1))
     assert policy.judge(candidate, 1.1).room
     for step in range(4):
-        assert not candidate.in_slow_spell or step
+        assert not candidate.in_slow_spell(2.0 + 0.2 * step) or step
         candidate.observe_report(report(slowness=5.0, at=2.0 + 0.2 * step))
     assert policy.judge(candidate, 3.0).room
 
@@ -238,7 +241,7 @@
     candidate = server()
     for step in range(8):
         candidate.observe_report(report(slowness=5.0, at=1.0 + 0.01 * step))
-    assert candidate.in_slow_spell
+    assert candidate.in_slow_spell(1.1)
 
 
 def test_repeat_that_found_no_place_is_given_back():
--- /dev/null
+++ b/boragegw/balancing/tests/test_pace.py
@@ -0,0 +1,59 @@
+"""The pace of servers that report no load, from the time of first answers."""
+
+import random
+
+import pytest
+
+from boragegw import balancing, utils
+
+USUAL = 0.0005
+SLOW = 0.0045
+
+
+def gauge_of(slow_share, count=64, seed=1):
+    """Return a gauge that has seen so many answers."""
+    drawn = random.Random(seed)
+    gauge = balancing.PaceGauge()
+    for _ in range(count):
+        gauge.observe(SLOW if drawn.random() < slow_share else USUAL)
+    return gauge
+
+
+def test_parameters_are_checked_at_use():
+    with pytest.raises(utils.InvalidParameterError, match="expected"):
+        balancing.PaceGauge(samples=0).observe(USUAL)
+
+
+@pytest.mark.parametrize("slow_share", [0.0, 0.25, 0.6])
+def test_slow_answers_stand_out_whatever_their_share(slow_share):
+    """Most of a service is slow for a while. If slow became the usual, requests would
+    begin in slow spells again.
+    """
+    gauge = gauge_of(slow_share)
+    assert gauge.observe(SLOW) > balancing.SLOW
+    assert gauge.observe(USUAL) < balancing.SLOW
+
+
+def test_little_experience_condemns_nothing():
+    gauge = balancing.PaceGauge()
+    assert [gauge.observe(SLOW) for _ in range(7)] == [1.0] * 7
+
+
+def test_noise_of_the_clock_is_no_slowness():
+    """Answers within less than the resolution of the measurement differ by large
+    factors that mean nothing; a clock may even go back a little.
+    """
+    gauge = balancing.PaceGauge()
+    shown = [gauge.observe(seconds) for seconds in (1e-6, 2e-4, -1e-4) * 10]
+    assert max(shown) == 1.0
+
+
+def test_servers_of_even_pace_cost_few_new_connections():
+    """A service without noisy neighbours would pay for a connection with each request
+    and gain nothing.
+    """
+    drawn = random.Random(3)
+    even = gauge_of(0.0)
+    wanted = sum(even.wants_new_connection(drawn) for _ in range(1000))
+    assert wanted < 150
+    assert gauge_of(0.25).wants_new_connection(drawn)
--- a/boragegw/gateway/_asker.py
+++ b/boragegw/gateway/_asker.py
@@ -268,12 +268,16 @@
         """Ask one server; return a :class:`Place` or ``None``."""
         service = search.service
         pool = self.pool(server)
+        gauge = search.state.pace
+        # Only a new connection tells the pace of a server that reports no load.
+        fresh = server.report is None and gauge.wants_new_connection(self.random_state)
         try:
-            connection = await pool.acquire(self.connection_limit(service))
+            connection = await pool.acquire(self.connection_limit(service), fresh)
         except _upstream.ExchangeError:
             server.unreachable_until = self.now() + UNREACHABLE_PAUSE
             return None
         self.board.counters["probes.sent"] += 1
+        asked_at = self.now()
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT):
                 question = self.dialect.health_question(service, server)
@@ -292,6 +296,9 @@
             pool.discard(connection)
             raise
         answer.take()
+        if fresh:
+            seconds = self.now() - asked_at - connection.round_trip
+            server.observe_slowness(gauge.observe(seconds), self.now())
         if not connection.reusable:
             # Backend servers end connections now and then with an answer.
             connection = await self._replace(service, server, connection)
--- a/boragegw/gateway/_call.py
+++ b/boragegw/gateway/_call.py
@@ -13,14 +13,14 @@
     """Why a request was sent where it was, for the log.
 
     :param cost: expected time there, in multiples of the usual time.
-    :param slowness: of the server's report, ``None`` if it gives none.
+    :param slowness: how slowly the server worked, as a multiple of the usual time.
     :param load: requests that the server held by its report.
     :param after: seconds since the request arrived.
     """
 
     server: str
     cost: float
-    slowness: float | None
+    slowness: float
     load: int | None
     after: float
 
@@ -94,6 +94,7 @@
         self.probes = probes
         self.hedging = balancing.AgeHedgePolicy()
         self.fullness = balancing.Fullness()
+        self.pace = balancing.PaceGauge()
 
 
 def fingerprint(request):
--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -130,8 +130,7 @@
 
     def _is_too_slow(self, call, place):
         """Return whether a slow server would hardly answer in the time that is left."""
-        report = place.server.report
-        if report is None or report.slowness < balancing.SLOW:
+        if place.server.slowness < balancing.SLOW:
             return False
         usual = call.state.hedging.usual
         left = call.give_up_at - self.now()
@@ -258,7 +257,7 @@
     return _call.SendRecord(
         server=place.server.identity,
         cost=round(place.offer.cost, 2),
-        slowness=None if report is None else report.slowness,
+        slowness=round(place.server.slowness, 2),
         load=None if report is None else report.running + report.waiting,
         after=round(now - call.request.arrived, 4),
     )
--- a/boragegw/gateway/_upstream.py
+++ b/boragegw/gateway/_upstream.py
@@ -80,11 +80,13 @@
     """One connection to a backend server.
 
     :param now: function that returns monotonic seconds.
+    :ivar round_trip: seconds that it took to connect.
     """
 
     def __init__(self, now):
         self.now = now
         self.idle_until = 0.0
+        self.round_trip = 0.0
         self.spoiled = False
         self.closed = False
         self._transport = None
@@ -313,12 +315,15 @@
         """Whether a connection waits for its next request."""
         return bool(self._idle)
 
-    async def acquire(self, limit):
+    async def acquire(self, limit, fresh=False):
         """Return an idle connection or a new one.
 
         :param limit: most connections of this process to the server.
+        :param fresh: return a new one; idle ones are closed.
         :raises ExchangeError: if none can be had; nothing was sent.
         """
+        if fresh:
+            self.close()
         now = self.now()
         while self._idle:
             connection = self._idle.pop()
@@ -343,6 +348,7 @@
         :raises ExchangeError: if none can be opened.
         """
         loop = asyncio.get_running_loop()
+        started = self.now()
         self._open += 1
         try:
             async with asyncio.timeout(self.CONNECT_TIMEOUT):
@@ -355,6 +361,7 @@
         except asyncio.CancelledError:
             self._open -= 1
             raise
+        connection.round_trip = self.now() - started
         return connection
 
     def release(self, connection):
--- a/boragegw/platform/tests/test_load.py
+++ b/boragegw/platform/tests/test_load.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+import pytest
+
 from boragegw import standins
 
 in_memory = standins.in_memory
@@ -11,12 +13,15 @@
 TARGET = 0.25
 
 
-async def noisy_world(backends=6, gateways=4):
+async def noisy_world(
+    backends=6, gateways=4, kind=standins.NoisyBackend, route_kind="safe"
+):
     installation = standins.WireWorld()
     await installation.store.start()
-    installation.publish([installation.route("/", target_latency_s=TARGET)])
+    route = installation.route("/", route_kind, target_latency_s=TARGET)
+    installation.publish([route])
     for number in range(backends):
-        await installation.add_backend(f"i-{number}", kind=standins.NoisyBackend)
+        await installation.add_backend(f"i-{number}", kind=kind)
     for number in range(gateways):
         await installation.add_gateway(f"gw-{number}")
     await asyncio.sleep(2.0)
@@ -83,6 +88,25 @@
         assert installation.backends[f"i-new-{number}"].runs
 
 
+class SilentBackend(standins.NoisyBackend):
+    """A backend server with noisy neighbours that tells no load."""
+
+    def __init__(self, identity, address):
+        super().__init__(identity, address, silent=True)
+
+
+@in_memory
+@pytest.mark.parametrize(("per_second", "least"), [(60, 0.9), (120, 0.85)])
+async def test_servers_that_tell_no_load_are_met_at_their_usual_pace(per_second, least):
+    """Servers report nothing and are slow a quarter of the time. Every fourth request
+    began in a slow spell and came late, and non-idempotent ones cannot be hedged. A
+    new connection is work as well, so the time until its first answer tells the pace.
+    """
+    installation = await noisy_world(kind=SilentBackend, route_kind="unsafe")
+    in_time, _, _ = await play(installation, per_second)
+    assert in_time > least
+
+
 def lasting(backend, factor):
     """Make ``backend`` work ``factor`` times as slowly from now on."""
     backend.noise_share = 1.0
--- a/boragegw/standins/_wire_backend.py
+++ b/boragegw/standins/_wire_backend.py
@@ -43,14 +43,16 @@
 
     :param identity: its id; another one is answered with 421.
     :param work: seconds that a request takes.
-    :param load: text of its load report.
+    :param load: text of its load report, empty if it tells none.
+    :param handshake: seconds that taking a new connection takes.
     """
 
-    def __init__(self, identity, address, work=0.05, load="0,0,6,100"):
+    def __init__(self, identity, address, work=0.05, load="0,0,6,100", handshake=0.0):
         self.identity = identity
         self.address = address
         self.work = work
         self.load = load
+        self.handshake = handshake
         self.body = b"answer of " + identity.encode()
         self.faults = WireFaults()
         self.runs = []
@@ -78,6 +80,10 @@
         """Work on one request."""
         await asyncio.sleep(self.work)
 
+    def handshake_time(self):
+        """Return the seconds that a new connection takes now."""
+        return self.handshake
+
     def crash(self):
         """Crash and come back after two seconds."""
         self.stop()
@@ -107,6 +113,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.late = b""
         self.tasks = set()
+        self.known = False
 
     def connection_made(self, transport):
         self.transport = transport
@@ -135,12 +142,17 @@
         self.body += body
 
     def on_message_complete(self):
-        target = self.target
-        handler = self._health() if target == b"/health" else self._request()
-        task = asyncio.get_running_loop().create_task(handler)
+        task = asyncio.get_running_loop().create_task(self._handle())
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    async def _handle(self):
+        target = self.target
+        if not self.known:
+            self.known = True
+            await asyncio.sleep(self.backend.handshake_time())
+        await (self._health() if target == b"/health" else self._request())
+
     async def _health(self):
         backend = self.backend
         backend.probes += 1
@@ -189,7 +201,9 @@
         late, self.late = self.late, b""
         if late:
             self.transport.write(late)
-        lines = [f"HTTP/1.1 {status} Text", f"x-backend-load: {self.backend.load}"]
+        lines = [f"HTTP/1.1 {status} Text"]
+        if self.backend.load:
+            lines.append(f"x-backend-load: {self.backend.load}")
         lines += [f"{name}: {value}" for name, value in headers]
         if not faults.unframed:
             lines.append(f"content-length: {len(body)}")
--- a/boragegw/standins/_wire_noise.py
+++ b/boragegw/standins/_wire_noise.py
@@ -14,6 +14,8 @@
     :param noise_share: share of the spells in which it is slow.
     :param noise_factor: multiple of the usual time in a slow spell.
     :param spell: seconds between two changes of pace.
+    :param handshake: seconds at the usual pace that taking a new connection takes.
+    :param silent: it tells no load.
     """
 
     def __init__(
@@ -27,8 +29,11 @@
         spell=0.15,
         knee=0.8,
         knee_factor=1.7,
+        handshake=0.001,
+        silent=False,
     ):
-        super().__init__(identity, address, work=work)
+        super().__init__(identity, address, work=work, handshake=handshake)
+        self.silent = silent
         self.slots = slots
         self.noise_share = noise_share
         self.noise_factor = noise_factor
@@ -44,6 +49,8 @@
     @property
     def load(self):
         """Text of its load report."""
+        if self.silent:
+            return ""
         percent = round(100 * self._pace_now())
         return f"{self._running},{self._waiting},{self.slots},{percent}"
 
@@ -59,6 +66,10 @@
             self._spell_until = now + self.spell * self.random_state.uniform(0.5, 1.5)
         return self._pace
 
+    def handshake_time(self):
+        """Return the seconds that a new connection takes now."""
+        return self.handshake * self._pace_now()
+
     async def run(self):
         """Take a slot and work."""
         self._waiting += 1
