--- a/boragegw/cli/_explain.py
+++ b/boragegw/cli/_explain.py
@@ -1,6 +1,7 @@
 """``boragegw explain``: from a request's id to its cause."""
 
 import contextlib
+import dataclasses
 import itertools
 import json
 import sys
@@ -17,9 +18,11 @@
         description="Show a request's attempts and verdicts from an entry's bounded "
         "memory (--entry), or its story from the logs of any number of processes "
         "(--logs), in order although their clocks differ. An entry's answer has the id "
-        "in its boragegw-request-id header; on the users' platform it is the caller's.",
+        "in its boragegw-request-id header; on the users' platform it is the caller's. "
+        "With --summary, count what the logs tell of refused, failed and late requests "
+        "by reason, service and second.",
     )
-    parser.add_argument("request_id", metavar="REQUEST-ID")
+    parser.add_argument("request_id", metavar="REQUEST-ID", nargs="?")
     source = parser.add_mutually_exclusive_group(required=True)
     source.add_argument("--entry", metavar="ADDRESS")
     source.add_argument(
@@ -32,12 +35,16 @@
         metavar="SECONDS",
         help="with --logs: how far around the request state is shown (%(default)s)",
     )
+    parser.add_argument(
+        "--summary", action="store_true", help="with --logs: count all troubles"
+    )
     parser.add_argument("--json", action="store_true", help="print JSON")
     parser.set_defaults(run=run)
 
 
 def run(options):
     """Run the command."""
+    _check(options)
     if options.entry is not None:
         return _operator.show(
             options, f"/ops/explain/{options.request_id}", explain_lines
@@ -45,6 +52,15 @@
     return _explain_logs(options)
 
 
+def _check(options):
+    if options.summary and options.logs is None:
+        raise errors.ConfigurationError("--summary", "logs", "expected --logs FILE...")
+    if options.summary == (options.request_id is not None):
+        raise errors.ConfigurationError(
+            "explain", "request id", "expected either REQUEST-ID or --summary"
+        )
+
+
 def explain_lines(note):
     """Yield the lines of a request's note."""
     kind = "idempotent" if note["idempotent"] else "non-idempotent"
@@ -73,6 +89,8 @@
         logs = operations.read_logs(itertools.chain.from_iterable(files))
     if logs.unreadable:
         print(f"{logs.unreadable} lines could not be read", file=sys.stderr)
+    if options.summary:
+        return _show_summary(operations.summarize(logs), options.json)
     story = operations.story_of(logs, options.request_id, options.around)
     if not story:
         print(f"no line names {options.request_id}", file=sys.stderr)
@@ -83,6 +101,32 @@
     return 0
 
 
+def _show_summary(summary, as_json):
+    if as_json:
+        for trouble in summary.troubles:
+            print(json.dumps(dataclasses.asdict(trouble)))
+        return 0
+    for line in _summary_lines(summary):
+        print(line)
+    return 0
+
+
+def _summary_lines(summary):
+    """Yield the lines of a summary's tables."""
+    yield from _tables.table(
+        ("outcome", "reason", "count"), summary.count("outcome", "reason")
+    )
+    yield ""
+    yield from _tables.table(
+        ("outcome", "service", "count"), summary.count("outcome", "service")
+    )
+    yield ""
+    head = ("from second", "refused", "failed", "late")
+    yield from _tables.table(head, summary.by_second())
+    if summary.left_out:
+        yield f"{summary.left_out} more that the processes did not write down"
+
+
 def _opened(path):
     if path == "-":
         return contextlib.nullcontext(sys.stdin)
--- a/boragegw/operations/__init__.py
+++ b/boragegw/operations/__init__.py
@@ -10,6 +10,7 @@
     status_of,
 )
 from boragegw.operations._stories import AROUND, Line, Logs, read_logs, story_of
+from boragegw.operations._summary import Summary, Trouble, summarize
 from boragegw.operations._traces import OpenTelemetryTracer, make_tracer
 
 __all__ = [
@@ -22,6 +23,8 @@
     "MetricsReporter",
     "OpenTelemetryTracer",
     "OperatorApplication",
+    "Summary",
+    "Trouble",
     "configure_logging",
     "explain_request",
     "make_tracer",
@@ -29,4 +32,5 @@
     "service_cells",
     "status_of",
     "story_of",
+    "summarize",
 ]
--- a/boragegw/operations/tests/test_stories.py
+++ b/boragegw/operations/tests/test_stories.py
@@ -99,3 +99,83 @@
     assert "1 lines could not be read" in shown.err
     assert cli.main(["explain", "r7", "--logs", str(path)]) == 1
     assert cli.main(["explain", "r1", "--logs", str(tmp_path / "none")]) == 2
+
+
+TROUBLES = [
+    adoption("gw-a", 0.0, 4),
+    adoption("gw-b", 0.0, 4),
+    line(
+        "gw-a",
+        2.5,
+        "request-failed",
+        request="r1",
+        service="app",
+        status=503,
+        reason="no room",
+        sent=[],
+    ),
+    line(
+        "gw-b",
+        2.6,
+        "request-failed",
+        request="r2",
+        service="app",
+        status=503,
+        reason="no room",
+        sent=[],
+    ),
+    line(
+        "gw-b",
+        5.0,
+        "request-failed",
+        request="r3",
+        service="pay",
+        status=502,
+        reason="RESET",
+        sent=[{"server": "i-1"}],
+    ),
+    line(
+        "gw-a",
+        5.1,
+        "answered-late",
+        request="r4",
+        service="app",
+        status=200,
+        sent=[{"server": "i-1"}, {"server": "i-2"}],
+    ),
+    line("gw-a", 6.0, "left-out", lines={"request-failed": 3, "other": 9}),
+]
+
+
+def test_troubles_are_counted_by_reason_second_and_service():
+    summary = operations.summarize(operations.read_logs(TROUBLES))
+    assert summary.count("outcome", "reason") == [
+        ("refused", "no room, sent 0 times", 2),
+        ("failed", "RESET, sent 1 times", 1),
+        ("late", "answer 200, sent 2 times", 1),
+    ]
+    assert summary.count("service")[0] == ("app", 3)
+    assert summary.by_second() == [(2.0, 2, 0, 0), (4.0, 0, 1, 1)]
+    assert summary.left_out == 3
+
+
+def test_summary_of_log_files_on_the_command_line(tmp_path, capsys):
+    log = tmp_path / "all.log"
+    log.write_text("\n".join(TROUBLES))
+    assert cli.main(["explain", "--summary", "--logs", str(log)]) == 0
+    shown = capsys.readouterr().out
+    assert "no room, sent 0 times" in shown
+    assert "3 more" in shown
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ["r1", "--summary", "--logs", "x"],
+        ["--summary", "--entry", "x"],
+        ["--logs", "x"],
+    ],
+)
+def test_summary_and_a_request_exclude_each_other(arguments, capsys):
+    assert cli.main(["explain", *arguments]) != 0
+    assert "expected" in capsys.readouterr().err
