--- a/boragegw/balancing/__init__.py
+++ b/boragegw/balancing/__init__.py
@@ -10,6 +10,7 @@
 from boragegw.balancing._budget import ProbeBudget, RepeatBudget, SlidingCount
 from boragegw.balancing._hedging import AgeHedgePolicy
 from boragegw.balancing._pace import PaceGauge
+from boragegw.balancing._policies import POLICIES, SWITCHES, PolicySettings
 from boragegw.balancing._quarantine import QuarantinePolicy
 from boragegw.balancing._ranks import RankMix, WaitingLine
 from boragegw.balancing._routing import (
@@ -34,7 +35,9 @@
 from boragegw.balancing._warming import WarmupPolicy
 
 __all__ = [
+    "POLICIES",
     "SLOW",
+    "SWITCHES",
     "AgeHedgePolicy",
     "AskingPolicy",
     "CallerLimits",
@@ -45,6 +48,7 @@
     "LoadReport",
     "Offer",
     "PaceGauge",
+    "PolicySettings",
     "ProbeBudget",
     "QuarantinePolicy",
     "RankMix",
--- a/boragegw/balancing/_asking.py
+++ b/boragegw/balancing/_asking.py
@@ -64,6 +64,9 @@
     :param fill_share: a server of :data:`KNEE_SLOTS` slots or more has room up to
         this share of them. Beyond it, such servers were seen to slow down all they
         hold by 1.7.
+    :param lasting_after: slow reports in a row, a spell apart, from which a server
+        counts as slow for long and is used again; 1 passes over no slow spell. Where
+        a third of all spells are slow, four in a row come by chance 4 times in 100.
     """
 
     _parameter_constraints = {
@@ -79,6 +82,7 @@
         "introductions": utils.Interval(float, 0, 1000),
         "slow_weight": utils.Interval(float, 0, 1),
         "fill_share": utils.Interval(float, 0.1, 10),
+        "lasting_after": utils.Interval(int, 1, 1000),
     }
 
     def __init__(
@@ -96,6 +100,7 @@
         introductions=4.0,
         slow_weight=0.85,
         fill_share=0.8,
+        lasting_after=4,
     ):
         self.data_centre = data_centre
         self.wave = wave
@@ -110,6 +115,7 @@
         self.introductions = introductions
         self.slow_weight = slow_weight
         self.fill_share = fill_share
+        self.lasting_after = lasting_after
 
     def introduces(self, processes, random_state):
         """Return whether this process tries a server first that has just joined.
@@ -201,7 +207,7 @@
         the slots as four others. Such a spell is over before another server's slot
         would have been free again, so nothing is lost by passing it over.
         """
-        if server.in_slow_spell(now):
+        if server.in_slow_spell(now, self.lasting_after):
             return False
         slots, ahead = self._occupancy(server)
         return ahead < (slots if slots < KNEE_SLOTS else int(self.fill_share * slots))
--- /dev/null
+++ b/boragegw/balancing/_policies.py
@@ -0,0 +1,62 @@
+"""Parameters of the policies that operators set, and that switch mechanisms off."""
+
+from boragegw import utils
+from boragegw.balancing import _asking, _hedging, _pace, _ranks, _shedding, _warming
+
+#: The policies whose parameters can be set, by the name they have in settings.
+POLICIES = {
+    "asking": _asking.AskingPolicy,
+    "hedging": _hedging.AgeHedgePolicy,
+    "pace": _pace.PaceGauge,
+    "ranks": _ranks.RankMix,
+    "shedding": _shedding.SheddingPolicy,
+    "warmup": _warming.WarmupPolicy,
+}
+#: For each mechanism, the parameters that switch it off.
+SWITCHES = {
+    "asking further than the first server": {"asking": {"most": 1}},
+    "failures of a server": {"asking": {"failure_cost": 0.0}},
+    "full servers asked last": {"asking": {"full_cost": 0.0}},
+    "hedging": {"hedging": {"quantile": 1.0, "first_delay": 60.0, "target_share": 10}},
+    "hold": {"shedding": {"hold_share": 0.0, "urgent_hold_share": 0.0}},
+    "idle connections first": {"asking": {"connection_cost": 0.0}},
+    "new servers first": {"asking": {"introductions": 0.0}},
+    "own data centre first": {
+        "asking": {"distance_cost": 0.0, "heavy_distance_cost": 0.0}
+    },
+    "pace of silent servers": {"pace": {"slow_share": 1.0, "explore_share": 0.0}},
+    "ranks": {"ranks": {"least_share": 1.0}},
+    "slots kept free": {"asking": {"fill_share": 1.0}},
+    "slow spells passed over": {"asking": {"lasting_after": 1}},
+}
+
+
+class PolicySettings:
+    """Makes policies with parameters that differ from their defaults.
+
+    :param parameters: parameters by policy and name, as in :data:`SWITCHES`.
+    """
+
+    def __init__(self, parameters=None):
+        self.parameters = parameters or {}
+
+    def check(self):
+        """Raise :class:`~boragegw.utils.InvalidParameterError` for a bad value."""
+        if not isinstance(self.parameters, dict):
+            raise utils.InvalidParameterError(
+                f"policies: {self.parameters!r}, expected an object"
+            )
+        for name, values in self.parameters.items():
+            if name not in POLICIES or not isinstance(values, dict):
+                raise utils.InvalidParameterError(
+                    f"policies: {name!r}: {values!r}, expected an object of parameters "
+                    f"for one of {sorted(POLICIES)}"
+                )
+            self.make(name)._check_params()
+
+    def make(self, name, **given):
+        """Return a new policy of that name.
+
+        :param given: parameters that are no settings, such as the own data centre.
+        """
+        return POLICIES[name](**given).set_params(**self.parameters.get(name, {}))
--- a/boragegw/balancing/_servers.py
+++ b/boragegw/balancing/_servers.py
@@ -16,9 +16,6 @@
 SPELL = 0.15
 #: Seconds after which the slow spell of a server that reports no load counts as over.
 SPELL_MEMORY = 0.3
-#: Slow reports in a row that show more than a short spell. Where a third of all spells
-#: are slow, three more after the first are slow by chance 4 times in 100.
-LASTING_REPORTS = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -145,11 +142,14 @@
         """Whether it must get no new work, whatever its load."""
         return self.removed or self.moved or self.listing.draining
 
-    def in_slow_spell(self, now):
-        """Whether it is slow and will probably not stay so."""
+    def in_slow_spell(self, now, lasting_after):
+        """Whether it is slow and will probably not stay so.
+
+        :param lasting_after: slow reports in a row that show more than a spell.
+        """
         if self.report is None and now - self.slowness_at > SPELL_MEMORY:
             return False
-        return 0 < self.slow_reports < LASTING_REPORTS
+        return 0 < self.slow_reports < lasting_after
 
     def observe_report(self, report):
         """Take a load report that has just arrived."""
--- a/boragegw/balancing/tests/test_decisions.py
+++ b/boragegw/balancing/tests/test_decisions.py
@@ -231,7 +231,7 @@
     candidate.observe_report(report(slowness=1.0, at=1.1))
     assert policy.judge(candidate, 1.1).room
     for step in range(4):
-        assert not candidate.in_slow_spell(2.0 + 0.2 * step) or step
+        assert not candidate.in_slow_spell(2.0 + 0.2 * step, 4) or step
         candidate.observe_report(report(slowness=5.0, at=2.0 + 0.2 * step))
     assert policy.judge(candidate, 3.0).room
 
@@ -241,7 +241,7 @@
     candidate = server()
     for step in range(8):
         candidate.observe_report(report(slowness=5.0, at=1.0 + 0.01 * step))
-    assert candidate.in_slow_spell(1.1)
+    assert candidate.in_slow_spell(1.1, 4)
 
 
 def test_repeat_that_found_no_place_is_given_back():
--- /dev/null
+++ b/boragegw/balancing/tests/test_policies.py
@@ -0,0 +1,42 @@
+"""Policies made from settings: bad values named, each switch with an effect."""
+
+import json
+
+import pytest
+
+from boragegw import balancing, errors, utils
+from boragegw.platform import _settings
+
+
+@pytest.mark.parametrize(
+    "parameters",
+    [
+        5,
+        {"nothing": {}},
+        {"asking": 5},
+        {"asking": {"nothing": 1}},
+        {"asking": {"most": 0}},
+        {"pace": {"slow_share": "0.5"}},
+    ],
+)
+def test_bad_settings_name_the_value_and_what_was_expected(parameters):
+    with pytest.raises(utils.InvalidParameterError, match="expected"):
+        balancing.PolicySettings(parameters).check()
+    with pytest.raises(errors.ConfigurationError, match="expected"):
+        _settings._policies(json.dumps(parameters))
+
+
+@pytest.mark.parametrize("mechanism", sorted(balancing.SWITCHES))
+def test_each_switch_changes_a_valid_parameter(mechanism):
+    settings = balancing.PolicySettings(balancing.SWITCHES[mechanism])
+    settings.check()
+    for name, values in settings.parameters.items():
+        usual = balancing.PolicySettings().make(name).get_params()
+        assert all(usual[key] != value for key, value in values.items())
+
+
+def test_policies_without_settings_have_their_defaults():
+    for name, policy in balancing.POLICIES.items():
+        assert balancing.PolicySettings().make(name).get_params() == (
+            policy().get_params()
+        )
--- a/boragegw/gateway/_call.py
+++ b/boragegw/gateway/_call.py
@@ -87,15 +87,16 @@
 
     :param budget: a :class:`~boragegw.balancing.RepeatBudget`.
     :param probes: a :class:`~boragegw.balancing.ProbeBudget`.
+    :param policies: a :class:`~boragegw.balancing.PolicySettings`.
     """
 
-    def __init__(self, budget, probes):
+    def __init__(self, budget, probes, policies):
         self.budget = budget
         self.probes = probes
-        self.hedging = balancing.AgeHedgePolicy()
+        self.hedging = policies.make("hedging")
         self.fullness = balancing.Fullness()
-        self.pace = balancing.PaceGauge()
-        self.ranks = balancing.RankMix()
+        self.pace = policies.make("pace")
+        self.ranks = policies.make("ranks")
         self.line = balancing.WaitingLine()
 
 
--- a/boragegw/gateway/_carrier.py
+++ b/boragegw/gateway/_carrier.py
@@ -41,6 +41,7 @@
     :param make_budget: function that returns a fresh
         :class:`~boragegw.balancing.RepeatBudget`.
     :param make_probe_budget: the same for a :class:`~boragegw.balancing.ProbeBudget`.
+    :param policies: a :class:`~boragegw.balancing.PolicySettings`.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         asker,
         make_budget,
         make_probe_budget,
+        policies,
         *,
         now,
         random_state,
@@ -60,10 +62,11 @@
         self.asker = asker
         self.make_budget = make_budget
         self.make_probe_budget = make_probe_budget
+        self.policies = policies
         self.now = now
         self.random_state = random_state
         self.log = log
-        self.shedding = balancing.SheddingPolicy()
+        self.shedding = policies.make("shedding")
         self.sender = _sender.Sender(
             board, dialect, asker, self.shedding, now=now, log=log
         )
@@ -142,7 +145,7 @@
         state = self._services.get(service_name)
         if state is None:
             state = self._services[service_name] = _call.ServiceState(
-                self.make_budget(), self.make_probe_budget()
+                self.make_budget(), self.make_probe_budget(), self.policies
             )
         return state
 
--- a/boragegw/gateway/_process.py
+++ b/boragegw/gateway/_process.py
@@ -42,6 +42,8 @@
     :param first_start: the whole system starts for the first time, without callers.
     :param repeat_ratio: see :class:`~boragegw.balancing.RepeatBudget`.
     :param probe_rate: questions per backend server and second of the whole fleet.
+    :param policies: parameters of policies that differ from their defaults, see
+        :class:`~boragegw.balancing.PolicySettings`.
     """
 
     name: str
@@ -56,6 +58,7 @@
     repeat_window: float = 10.0
     repeat_slack: float = 50.0
     probe_rate: float = 60.0
+    policies: dict = dataclasses.field(default_factory=dict)
 
 
 class Gateway:
@@ -98,13 +101,14 @@
 
     def _build(self, decoder, store, peer_source):
         settings = self.settings
+        policies = balancing.PolicySettings(settings.policies)
         shared = {"now": self.now, "log": self.log}
         drawn = {"random_state": self.random_state, **shared}
         self.asker = _asker.Asker(
             self.board,
             self.dialect,
-            balancing.AskingPolicy(settings.data_centre),
-            balancing.WarmupPolicy(),
+            policies.make("asking", data_centre=settings.data_centre),
+            policies.make("warmup"),
             **drawn,
         )
         self.carrier = _carrier.Carrier(
@@ -113,6 +117,7 @@
             self.asker,
             self._make_budget,
             lambda: balancing.ProbeBudget(settings.probe_rate),
+            policies,
             **drawn,
         )
         self.catalogue = _catalogue.Catalogue(
--- a/boragegw/platform/_settings.py
+++ b/boragegw/platform/_settings.py
@@ -1,13 +1,18 @@
 """The platform's settings file, checked and turned into the product's settings."""
 
 import dataclasses
+import os
 
 import msgspec
 
-from boragegw import errors, gateway
+from boragegw import balancing, errors, gateway, utils
 
 #: Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = "BORAGEGW_SETTINGS"
+#: Environment variable with parameters of policies that differ from their defaults, a
+#: JSON object of objects: ``{"asking": {"most": 4}}``. The settings file has the
+#: platform's fields only.
+POLICIES_VARIABLE = "BORAGEGW_POLICIES"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +76,18 @@
         raise msgspec.DecodeError(str(error)) from error
 
 
+def _policies(text):
+    """Return the parameters of policies in the environment, checked."""
+    if not text:
+        return {}
+    try:
+        parameters = msgspec.json.decode(text)
+        balancing.PolicySettings(parameters).check()
+    except (msgspec.DecodeError, utils.InvalidParameterError) as error:
+        raise errors.ConfigurationError(POLICIES_VARIABLE, "", str(error)) from error
+    return parameters
+
+
 class _Reader:
     """Reads typed values by dotted key."""
 
@@ -118,6 +135,7 @@
             repeat_window=self.number("bounds.retry_window_s", 10.0),
             probe_rate=self.number("bounds.probes_per_s", 20.0),
             repeat_slack=self.number("bounds.retry_budget_slack", 20.0),
+            policies=_policies(os.environ.get(POLICIES_VARIABLE, "")),
         )
 
     def string(self, key):
--- a/boragegw/standins/__init__.py
+++ b/boragegw/standins/__init__.py
@@ -20,6 +20,7 @@
 )
 from boragegw.standins._virtual_transport import VirtualTransport
 from boragegw.standins._wire_backend import WireBackend, WireFaults
+from boragegw.standins._wire_load import CallerLoad, Shares, noisy_world
 from boragegw.standins._wire_noise import NoisyBackend
 from boragegw.standins._wire_store import WireStore
 from boragegw.standins._wire_world import STORE, WireWorld, request_bytes
@@ -28,16 +29,19 @@
     "HOST",
     "STORE",
     "in_memory",
+    "noisy_world",
     "AnswerEvent",
     "BackendFaults",
     "Caller",
     "CallerAnswer",
+    "CallerLoad",
     "LocalFleet",
     "MemoryLoop",
     "NoisyBackend",
     "PublishedState",
     "RunEvent",
     "ServiceShape",
+    "Shares",
     "StandinBackend",
     "StandinPlatform",
     "VirtualBackend",
