--- a/boragegw/balancing/_asking.py
+++ b/boragegw/balancing/_asking.py
@@ -216,9 +216,7 @@
         """Return the expected time there, in multiples of the usual time."""
         slots, ahead = self._occupancy(server)
         queueing = max(0, ahead + 1 - slots) / slots
-        slowness = 1.0
-        if server.report is not None or now - server.slowness_at < self.memory:
-            slowness += self.slow_weight * (server.slowness - 1.0)
+        slowness = 1.0 + self.slow_weight * (server.slowness(now) - 1.0)
         return slowness * (1.0 + queueing)
 
     @staticmethod
--- a/boragegw/balancing/_pace.py
+++ b/boragegw/balancing/_pace.py
@@ -10,8 +10,7 @@
 
     A server that shares its machine answers a question on an open connection at once,
     whatever its pace. Taking a new connection is work, though, and takes as many times
-    longer as everything else does at that moment: 0.5 ms and 4.5 ms besides the round
-    trip were seen at the usual pace and at a fifth of it.
+    longer as everything else does at that moment.
 
     :param samples: answers remembered.
     :param usual_quantile: share of them that were at the usual pace or faster; below
--- a/boragegw/balancing/_servers.py
+++ b/boragegw/balancing/_servers.py
@@ -100,8 +100,8 @@
 
     :param own_in_flight: requests of this process that it holds.
     :param report: its last load report, ``None`` if it tells none.
-    :param slowness: how long work took there when last seen, as a multiple of the
-        usual time.
+    :param last_slowness: how long work took there when last seen, as a multiple of
+        the usual time.
     :param slowness_at: when that was; monotonic seconds.
     :param cold_until: monotonic seconds until which it is cold.
     :param unwell_until: its health check fails; monotonic seconds.
@@ -115,7 +115,7 @@
     listing: Listing
     own_in_flight: int = 0
     report: LoadReport | None = None
-    slowness: float = 1.0
+    last_slowness: float = 1.0
     slowness_at: float = -math.inf
     cold_until: float = -math.inf
     unwell_until: float = -math.inf
@@ -147,9 +147,19 @@
 
         :param lasting_after: slow reports in a row that show more than a spell.
         """
-        if self.report is None and now - self.slowness_at > SPELL_MEMORY:
-            return False
-        return 0 < self.slow_reports < lasting_after
+        return self._knows_pace(now) and 0 < self.slow_reports < lasting_after
+
+    def slowness(self, now):
+        """Return how long work takes there, as a multiple of the usual time."""
+        return self.last_slowness if self._knows_pace(now) else 1.0
+
+    def _knows_pace(self, now):
+        """Return whether its last known pace still counts.
+
+        A server that reports load is asked right before each decision. The pace of
+        another is seen now and then only, and is over by the next time.
+        """
+        return self.report is not None or now - self.slowness_at <= SPELL_MEMORY
 
     def observe_report(self, report):
         """Take a load report that has just arrived."""
@@ -158,7 +168,7 @@
 
     def observe_slowness(self, slowness, now):
         """Take how long work takes there now, as a multiple of the usual time."""
-        self.slowness = slowness
+        self.last_slowness = slowness
         self.slowness_at = now
         if slowness < SLOW:
             self.slow_reports = 0
--- a/boragegw/balancing/tests/test_pace.py
+++ b/boragegw/balancing/tests/test_pace.py
@@ -57,3 +57,16 @@
     wanted = sum(even.wants_new_connection(drawn) for _ in range(1000))
     assert wanted < 150
     assert gauge_of(0.25).wants_new_connection(drawn)
+
+
+def test_pace_of_a_silent_server_is_soon_forgotten():
+    """A server that reports nothing was seen in a slow spell and is then asked on an
+    open connection, which tells no pace. It would count as slow for ever.
+    """
+    listing = balancing.Listing("s", "app", ("s", 1), "dc", "v", 4, False, 0.0)
+    server = balancing.Server(listing)
+    server.observe_slowness(5.0, 1.0)
+    assert server.in_slow_spell(1.1, 4)
+    assert server.slowness(1.1) == 5.0
+    assert not server.in_slow_spell(2.0, 4)
+    assert server.slowness(2.0) == 1.0
--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -153,7 +153,7 @@
 
     def _is_too_slow(self, call, place):
         """Return whether a slow server would hardly answer in the time that is left."""
-        if place.server.slowness < balancing.SLOW:
+        if place.server.slowness(self.now()) < balancing.SLOW:
             return False
         usual = call.state.hedging.usual
         left = call.give_up_at - self.now()
@@ -280,7 +280,7 @@
     return _call.SendRecord(
         server=place.server.identity,
         cost=round(place.offer.cost, 2),
-        slowness=round(place.server.slowness, 2),
+        slowness=round(place.server.slowness(now), 2),
         load=None if report is None else report.running + report.waiting,
         after=round(now - call.request.arrived, 4),
     )
--- a/boragegw/operations/tests/test_stories.py
+++ b/boragegw/operations/tests/test_stories.py
@@ -101,48 +101,20 @@
     assert cli.main(["explain", "r1", "--logs", str(tmp_path / "none")]) == 2
 
 
+def failure(process, true, request, status, reason, sent=(), service="app"):
+    """Return the line of a request that its process ended itself."""
+    fields = {"status": status, "reason": reason, "sent": sent, "service": service}
+    return line(process, true, "request-failed", request=request, **fields)
+
+
+LATE = {"request": "r4", "service": "app", "status": 200, "sent": [{}, {}]}
 TROUBLES = [
     adoption("gw-a", 0.0, 4),
     adoption("gw-b", 0.0, 4),
-    line(
-        "gw-a",
-        2.5,
-        "request-failed",
-        request="r1",
-        service="app",
-        status=503,
-        reason="no room",
-        sent=[],
-    ),
-    line(
-        "gw-b",
-        2.6,
-        "request-failed",
-        request="r2",
-        service="app",
-        status=503,
-        reason="no room",
-        sent=[],
-    ),
-    line(
-        "gw-b",
-        5.0,
-        "request-failed",
-        request="r3",
-        service="pay",
-        status=502,
-        reason="RESET",
-        sent=[{"server": "i-1"}],
-    ),
-    line(
-        "gw-a",
-        5.1,
-        "answered-late",
-        request="r4",
-        service="app",
-        status=200,
-        sent=[{"server": "i-1"}, {"server": "i-2"}],
-    ),
+    failure("gw-a", 2.5, "r1", 503, "no room"),
+    failure("gw-b", 2.6, "r2", 503, "no room"),
+    failure("gw-b", 5.0, "r3", 502, "RESET", [{"server": "i-1"}], "pay"),
+    line("gw-a", 5.1, "answered-late", **LATE),
     line("gw-a", 6.0, "left-out", lines={"request-failed": 3, "other": 9}),
 ]
 
