--- a/boragegw/gateway/_membership.py
+++ b/boragegw/gateway/_membership.py
@@ -30,11 +30,11 @@
 #: :data:`FANOUT`. New processes are told of first, to everybody.
 NEWS = 1
 MUCH_NEWS = 8
-#: With more processes than :data:`FANOUT`: those of the own data centre to which a beat
-#: goes, those of each other data centre, the pulses of others in it, and the beats of
+#: With more processes than :data:`FANOUT`: those to which a beat goes, those of them in
+#: each other data centre, the pulses of others in a beat, and the number of beats of
 #: which one goes to the seeds. Bytes between data centres are dear, and news that has
 #: arrived in a data centre spreads inside it.
-CROWD_NEAR = 10
+CROWD_FANOUT = 16
 CROWD_AWAY = 3
 CROWD_NEWS = 24
 CROWD_SEEDS_EVERY = 4
@@ -159,7 +159,7 @@
         pulses = [_pulse_of(self.own, 0.0)]
         fresh = self._fresh()
         if len(fresh) > FANOUT:
-            chosen = self.random_state.sample(fresh, min(len(fresh), CROWD_NEWS))
+            chosen = self._sample(fresh, CROWD_NEWS)
             pulses += [_pulse_of(k.member, now - k.heard_at) for k in chosen]
         return self._encode(_peer_messages.Pulses(pulses))
 
@@ -197,12 +197,14 @@
         groups = {}
         for member in members:
             groups.setdefault(member.data_centre, []).append(member)
+        near = groups.pop(self.own.data_centre, [])
         chosen = []
-        for data_centre, group in groups.items():
-            near = data_centre == self.own.data_centre
-            most = min(len(group), CROWD_NEAR if near else CROWD_AWAY)
-            chosen += self.random_state.sample(group, most)
-        return chosen
+        for group in groups.values():
+            chosen += self._sample(group, CROWD_AWAY)
+        return chosen + self._sample(near, max(0, CROWD_FANOUT - len(chosen)))
+
+    def _sample(self, members, most):
+        return self.random_state.sample(members, min(len(members), most))
 
     def _send(self, address, datagram):
         if self._transport is not None and not self._transport.is_closing():
