A server made with a report has that report's pace

Cause: the pace is kept beside the report since silent servers have one too, and a report given to the constructor did not set it. The gateway never does so, its servers learn from answers; the example and everybody who copies it do. Ruled out: load, the example fails alone.

--- a/boragegw/balancing/_servers.py
+++ b/boragegw/balancing/_servers.py
@@ -127,6 +127,11 @@
     tried_first: bool = False
     failures: FailureShare = dataclasses.field(default_factory=FailureShare)
 
+    def __post_init__(self):
+        """Take the pace from a report that is given at once."""
+        if self.report is not None:
+            self.observe_report(self.report)
+
     @property
     def identity(self):
         """Its identity on the platform."""
--- a/boragegw/balancing/tests/test_decisions.py
+++ b/boragegw/balancing/tests/test_decisions.py
@@ -7,14 +7,11 @@
 from boragegw import balancing, utils
 
 
-def server(name="s", data_centre="dc-a", slots=6, report=None, **fields):
+def server(name="s", data_centre="dc-a", slots=6, **fields):
     listing = balancing.Listing(
         name, "app", (name, 1), data_centre, "v1", slots, False, 0.0
     )
-    made = balancing.Server(listing, **fields)
-    if report is not None:
-        made.observe_report(report)
-    return made
+    return balancing.Server(listing, **fields)
 
 
 def report(running=0, waiting=0, slots=6, slowness=1.0, at=0.0):
