--- a/boragegw/platform/_records.py
+++ b/boragegw/platform/_records.py
@@ -1,6 +1,6 @@
 """Shapes of the published records, and a reader that loses only what it cannot read."""
 
-from typing import Annotated
+import typing
 
 import msgspec
 
@@ -14,10 +14,10 @@
 #: missing field would permit more than the writer may have meant.
 CAUTIOUS = {"max_attempts": 1, "warmup_per_s": 1.0}
 
-NotNegative = Annotated[float, msgspec.Meta(ge=0)]
-Positive = Annotated[float, msgspec.Meta(gt=0)]
-Whole = Annotated[int, msgspec.Meta(ge=0)]
-Counted = Annotated[int, msgspec.Meta(ge=1)]
+NotNegative = typing.Annotated[float, msgspec.Meta(ge=0)]
+Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
+Whole = typing.Annotated[int, msgspec.Meta(ge=0)]
+Counted = typing.Annotated[int, msgspec.Meta(ge=1)]
 
 
 class WirePart(msgspec.Struct):
