Lines and counters that tell why a process knows less than the others

The logs said only that a source was left, not whether its answer was arriving, how much of it was thrown away, nor how long the configuration took to decode; three hypotheses could not be told apart.

source-left gains received and after, configuration gains bytes and seconds; counters sources.bytes, sources.left, sources.bytes_dropped; gauge store_lag. No decision changes.

--- a/boragegw/gateway/_catalogue.py
+++ b/boragegw/gateway/_catalogue.py
@@ -142,9 +142,11 @@
             self.on_change()
 
     def _put(self, record):
+        started = self.now()
         configuration = self.decoder.configuration(record)
         if configuration is not None:
-            self._adopt_configuration(configuration, record.revision)
+            seconds = round(self.now() - started, 4)
+            self._adopt_configuration(configuration, record, seconds)
             return
         listing = self.decoder.listing(record)
         if listing is not None:
@@ -152,7 +154,7 @@
         else:
             self._remove(record.key)
 
-    def _adopt_configuration(self, configuration, revision):
+    def _adopt_configuration(self, configuration, record, seconds):
         current = self.board.configuration
         if current is not None and configuration.version <= current.version:
             if configuration.version < current.version:
@@ -167,8 +169,10 @@
         self.log.event(
             "configuration",
             version=configuration.version,
-            revision=revision,
+            revision=record.revision,
             routes=len(configuration.routes),
+            bytes=len(record.value),
+            seconds=seconds,
         )
 
     def _adopt_listing(self, record, listing):
--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -73,6 +73,7 @@
         self.first_start = first_start
         self._wake = asyncio.Event()
         self._following = None
+        self._reading_from = store
         self._peer = None
         self._failures = 0
         self._watching_since = math.inf
@@ -104,6 +105,11 @@
                 return
             await asyncio.sleep(0.05)
 
+    @property
+    def lag(self):
+        """Revisions by which a process in sight knows more than this one."""
+        return max(0, self.membership.latest_revision() - self.catalogue.position)
+
     # Choice.
 
     def _choose(self):
@@ -205,6 +211,7 @@
         if self._must_reread:
             await self._reread(name)
         self._following = name
+        self._reading_from = source
         self._watching_since = self.now()
         self._wake.clear()
         watch = asyncio.ensure_future(source.watch(self.catalogue.position, self._wait))
@@ -300,10 +307,9 @@
         now = self.now()
         if any(not m.reads_store for m in self.membership.alive()):
             self.catalogue.trouble_at = now
-        behind = self.membership.latest_revision() > self.catalogue.position
         # Counted from the start of the present watch: a limit that runs on while a new
         # watch begins would end that one too, before its answer.
-        if behind and now - self._watching_since > LAG_LIMIT:
+        if self.lag and now - self._watching_since > LAG_LIMIT:
             self._leave_source("behind the others")
         elif self._following is not None and not self._still_good(self._following):
             self._leave_source("it no longer watches the store")
@@ -312,7 +318,17 @@
 
     def _leave_source(self, reason):
         name = self._following
-        self.log.event("source-left", source=name or "store", reason=reason)
+        received = self._reading_from.progress.received
+        self.log.event(
+            "source-left",
+            source=name or "store",
+            reason=reason,
+            received=received,
+            after=round(self.now() - self._watching_since, 3),
+        )
+        counters = self.membership.board.counters
+        counters["sources.left"] += 1
+        counters["sources.bytes_dropped"] += received
         if name is None:
             self.store.close()
         else:
--- a/boragegw/gateway/_metrics.py
+++ b/boragegw/gateway/_metrics.py
@@ -29,6 +29,9 @@
     "searches.full": "searches for a place that found no backend server with room",
     "store.calls": "calls to the platform's store, a watch as one",
     "store.peer_reads": "reads from a process that watches the store",
+    "sources.bytes": "bytes of answers of the store and of other processes",
+    "sources.left": "answers of sources that were given up for another source's",
+    "sources.bytes_dropped": "bytes that had arrived of answers that were given up",
     "peers.datagrams_sent": "datagrams sent to peers",
     "peers.datagrams_dropped": "datagrams dropped as foreign, damaged or repeated",
     "peers.send_errors": "datagrams that could not be delivered",
@@ -41,6 +44,7 @@
     "peers": "other processes in sight",
     "configuration_version": "version of the configuration in force",
     "store_position": "revision of the platform's store up to which all is known",
+    "store_lag": "revisions by which others in sight know more than this process",
     "connections": "callers' connections that are open",
 }
 HISTOGRAMS = {
--- a/boragegw/platform/_endpoints.py
+++ b/boragegw/platform/_endpoints.py
@@ -98,6 +98,7 @@
             if configuration is None
             else configuration.version,
             "store_position": process.catalogue.position,
+            "store_lag": process.follower.lag,
             "connections": len(process.connections),
         }
         text = gateway.exposition(board.counters, gauges, board.histograms)
--- a/boragegw/platform/_store.py
+++ b/boragegw/platform/_store.py
@@ -52,6 +52,7 @@
     """
 
     def __init__(self, address, now, counters, counter="store.calls"):
+        super().__init__()
         self.address = address
         self.counter = counter
         self.now = now
@@ -99,13 +100,15 @@
         try:
             async with asyncio.timeout(timeout):
                 answer = await connection.start(request, lambda answer: True)
-                body = await _whole_body(answer)
+                body = await self._whole_body(answer)
         except (gateway.ExchangeError, TimeoutError) as error:
             self._pool.discard(connection)
             raise gateway.SourceError(str(error) or "no answer in time") from error
         except asyncio.CancelledError:
             self._pool.discard(connection)
             raise
+        finally:
+            self.progress.end()
         self._pool.release(connection)
         if answer.status == HISTORY_LOST:
             raise gateway.HistoryLostError(f"{path}: status {answer.status}")
@@ -116,25 +119,27 @@
         except (msgspec.DecodeError, msgspec.ValidationError) as error:
             raise gateway.SourceError(f"unreadable answer: {error}") from error
 
+    async def _whole_body(self, answer):
+        body = bytearray()
+        while True:
+            chunk = answer.take()
+            self.counters["sources.bytes"] += len(chunk)
+            self.progress.move(len(chunk), self.now())
+            body += chunk
+            if len(body) > ANSWER_LIMIT:
+                raise gateway.ExchangeError(gateway.Failure.MALFORMED)
+            if answer.complete and not answer.body:
+                return bytes(body)
+            if answer.error is not None:
+                raise answer.error
+            if not answer.complete:
+                await answer.changed()
+
     def close(self):
         """Close the idle connections."""
         self._pool.close()
 
 
-async def _whole_body(answer):
-    body = bytearray()
-    while True:
-        body += answer.take()
-        if len(body) > ANSWER_LIMIT:
-            raise gateway.ExchangeError(gateway.Failure.MALFORMED)
-        if answer.complete and not answer.body:
-            return bytes(body)
-        if answer.error is not None:
-            raise answer.error
-        if not answer.complete:
-            await answer.changed()
-
-
 def _record(item):
     """Return the record of an item; one whose bytes cannot be read has none."""
     value = None
