--- a/boragegw/cli/_explain.py
+++ b/boragegw/cli/_explain.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import datetime
 import itertools
 import json
 import sys
@@ -20,7 +21,8 @@
         "(--logs), in order although their clocks differ. An entry's answer has the id "
         "in its boragegw-request-id header; on the users' platform it is the caller's. "
         "With --summary, count what the logs tell of refused, failed and late requests "
-        "by reason, service and second.",
+        "by reason, service and second. With --configurations, show when each version "
+        "of the configuration came into force and why some processes were late.",
     )
     parser.add_argument("request_id", metavar="REQUEST-ID", nargs="?")
     source = parser.add_mutually_exclusive_group(required=True)
@@ -38,6 +40,18 @@
     parser.add_argument(
         "--summary", action="store_true", help="with --logs: count all troubles"
     )
+    parser.add_argument(
+        "--configurations",
+        action="store_true",
+        help="with --logs: who got each configuration when",
+    )
+    parser.add_argument(
+        "--latest",
+        type=int,
+        default=operations.LATEST,
+        metavar="COUNT",
+        help="with --configurations: late processes of each version (%(default)s)",
+    )
     parser.add_argument("--json", action="store_true", help="print JSON")
     parser.set_defaults(run=run)
 
@@ -53,11 +67,21 @@
 
 
 def _check(options):
-    if options.summary and options.logs is None:
-        raise errors.ConfigurationError("--summary", "logs", "expected --logs FILE...")
-    if options.summary == (options.request_id is not None):
+    asked = [
+        f"--{name}" for name in ("summary", "configurations") if vars(options)[name]
+    ]
+    if options.latest < 0:
+        raise errors.ConfigurationError(
+            "--latest", "count", f"expected 0 or more, got {options.latest}"
+        )
+    if asked and options.logs is None:
+        raise errors.ConfigurationError(asked[0], "logs", "expected --logs FILE...")
+    if len(asked) + (options.request_id is not None) != 1:
         raise errors.ConfigurationError(
-            "explain", "request id", "expected either REQUEST-ID or --summary"
+            "explain",
+            "request id",
+            f"expected just one of REQUEST-ID, --summary and --configurations, got "
+            f"{' '.join([*filter(None, [options.request_id]), *asked]) or 'none'}",
         )
 
 
@@ -91,6 +115,8 @@
         print(f"{logs.unreadable} lines could not be read", file=sys.stderr)
     if options.summary:
         return _show_summary(operations.summarize(logs), options.json)
+    if options.configurations:
+        return _show_rollouts(operations.rollouts(logs), options)
     story = operations.story_of(logs, options.request_id, options.around)
     if not story:
         print(f"no line names {options.request_id}", file=sys.stderr)
@@ -127,6 +153,86 @@
         yield f"{summary.left_out} more that the processes did not write down"
 
 
+def _show_rollouts(rollouts, options):
+    if not rollouts.versions:
+        print("no line tells of a configuration", file=sys.stderr)
+        return 1
+    if options.json:
+        for rollout in rollouts.versions:
+            print(json.dumps(dataclasses.asdict(rollout)))
+    else:
+        for line in _rollout_lines(rollouts, options.latest):
+            print(line)
+    for line in _rollout_notes(rollouts):
+        print(line, file=sys.stderr)
+    return 0
+
+
+def _rollout_lines(rollouts, limit):
+    """Yield the lines of the tables of versions and of the latest processes."""
+    head = ("version", "routes", "bytes", "first", "half s", "9 in 10 s", "all s")
+    more = ("adopted", "never", "bytes given up", "sources left")
+    yield from _tables.table(
+        (*head, *more), [_rollout_cells(rollout) for rollout in rollouts.versions]
+    )
+    yield ""
+    latest = [
+        (rollout.version, *_adopter_cells(adopter))
+        for rollout in rollouts.versions
+        for adopter in rollout.latest(limit)
+    ]
+    if not latest:
+        yield f"no process came {operations.LATE:g} s or more after the first"
+        return
+    head = ("version", "latest process", "after s", "bytes given up", "sources left")
+    yield from _tables.table(head, latest)
+
+
+def _rollout_notes(rollouts):
+    """Yield what must be known to trust the tables."""
+    for process, _, seconds in rollouts.clock_errors:
+        yield (
+            f"{process}: each version {seconds:+.2f} s from the others, taken for an "
+            "error of its clock and left out of its delays"
+        )
+    if rollouts.left_out:
+        yield f"{rollouts.left_out} more sources left that were not written down"
+
+
+def _rollout_cells(rollout):
+    first = datetime.datetime.fromtimestamp(rollout.first, datetime.UTC)
+    delays = rollout.delays()
+    return (
+        rollout.version,
+        _known(rollout.routes),
+        _known(rollout.size),
+        first.isoformat(timespec="milliseconds").replace("+00:00", "Z"),
+        *(f"{rollout.delay_of(share):.2f}" for share in operations.SHARES),
+        len(delays),
+        rollout.never(),
+        _known(rollout.dropped()),
+        _left(rollout.left()),
+    )
+
+
+def _adopter_cells(adopter):
+    never = f"never in {adopter.waited:.2f}"
+    return (
+        adopter.process,
+        never if adopter.delay is None else f"{adopter.delay:.2f}",
+        _known(adopter.dropped),
+        _left(adopter.left.items()),
+    )
+
+
+def _known(value):
+    return "?" if value is None else value
+
+
+def _left(rows):
+    return ", ".join(f"{count} {reason}" for reason, count in rows) or "0"
+
+
 def _opened(path):
     if path == "-":
         return contextlib.nullcontext(sys.stdin)
--- a/boragegw/operations/__init__.py
+++ b/boragegw/operations/__init__.py
@@ -3,6 +3,15 @@
 from boragegw.operations._application import OperatorApplication
 from boragegw.operations._logs import JsonLinesFormatter, configure_logging
 from boragegw.operations._metrics import METRICS, MetricsReporter
+from boragegw.operations._rollout import (
+    LATE,
+    LATEST,
+    SHARES,
+    Adopter,
+    Rollout,
+    Rollouts,
+    rollouts,
+)
 from boragegw.operations._status import (
     SERVICE_COLUMNS,
     explain_request,
@@ -15,20 +24,27 @@
 
 __all__ = [
     "AROUND",
+    "LATE",
+    "LATEST",
     "METRICS",
     "SERVICE_COLUMNS",
+    "SHARES",
+    "Adopter",
     "JsonLinesFormatter",
     "Line",
     "Logs",
     "MetricsReporter",
     "OpenTelemetryTracer",
     "OperatorApplication",
+    "Rollout",
+    "Rollouts",
     "Summary",
     "Trouble",
     "configure_logging",
     "explain_request",
     "make_tracer",
     "read_logs",
+    "rollouts",
     "service_cells",
     "status_of",
     "story_of",
