Network in memory: links of limited rate, shared in turns

A host's link has a rate in each direction. What its connections send goes over it in segments, in turns, with at most a window of each on the way; a reset overtakes. Hosts without a link are reached as before. Datagrams are not limited.

--- a/boragegw/standins/_memory_network.py
+++ b/boragegw/standins/_memory_network.py
@@ -11,6 +11,7 @@
 import functools
 
 from boragegw import utils
+from boragegw.standins import _links
 
 #: Seconds one way between any two addresses.
 DELAY = 0.0005
@@ -36,6 +37,7 @@
         self._lost = False
         self._paused = False
         self._waiting = collections.deque()
+        self._flow = _links.Flow(loop.network, self)
 
     def get_extra_info(self, name, default=None):
         """Return addresses; there is no socket."""
@@ -45,6 +47,15 @@
         """Return whether the end was closed here."""
         return self._closing
 
+    def is_lost(self):
+        """Return whether nothing can arrive here any more."""
+        return self._lost
+
+    def can_reach(self):
+        """Return whether what is sent now gets to the other end."""
+        cut = self.loop.network.is_cut(self.local[0], self.remote[0])
+        return self.other is not None and not self.silent and not cut
+
     def get_write_buffer_size(self):
         """Return 0: the network takes all at once."""
         return 0
@@ -96,14 +107,18 @@
             self._accept(*self._waiting.popleft())
 
     def _deliver(self, kind, data):
+        if kind == "reset":
+            self._flow.drop()
+        if not self.can_reach():
+            return
         network = self.loop.network
-        if self.silent or network.is_cut(self.local[0], self.remote[0]):
+        if kind != "reset" and network.is_limited(self.local[0], self.remote[0]):
+            self._flow.send(kind, data)
             return
-        if self.other is not None:
-            other = self.other
-            self.loop.call_later(
-                network.delay, other.arrive, kind, data, context=other.context
-            )
+        other = self.other
+        self.loop.call_later(
+            network.delay, other.arrive, kind, data, context=other.context
+        )
 
     def arrive(self, kind, data):
         """Take what the other end sent."""
@@ -173,6 +188,28 @@
         self.datagrams = {}
         self.connections = []
         self._cuts = set()
+        self._outgoing = {}
+        self._incoming = {}
+
+    def set_link(self, host, mbps):
+        """Limit what all connections of ``host`` carry together.
+
+        :param mbps: Mbit/s of each direction. Datagrams are not limited.
+        """
+        self._outgoing[host] = _links.Link(self.loop, mbps)
+        self._incoming[host] = _links.Link(self.loop, mbps)
+
+    def outgoing(self, host):
+        """Return the link out of ``host``, ``None`` if it is unlimited."""
+        return self._outgoing.get(host)
+
+    def incoming(self, host):
+        """Return the link into ``host``, ``None`` if it is unlimited."""
+        return self._incoming.get(host)
+
+    def is_limited(self, source, target):
+        """Return whether a link slows what ``source`` sends to ``target``."""
+        return source in self._outgoing or target in self._incoming
 
     def cut(self, one, other):
         """Lose everything between two hosts, both ways."""
--- a/boragegw/standins/_wire_world.py
+++ b/boragegw/standins/_wire_world.py
@@ -109,9 +109,12 @@
         self.store.put(f"servers/{identity}", entry)
         return backend
 
-    async def add_gateway(self, name, data_centre="dc-a", seeds=("gw-0",), **fields):
+    async def add_gateway(
+        self, name, data_centre="dc-a", seeds=("gw-0",), limited=False, **fields
+    ):
         """Start a gateway process on a host of its own.
 
+        :param limited: whether the host's link has the rate that the settings state.
         :param fields: further ones of :class:`~boragegw.gateway.GatewaySettings`.
         """
         settings = platform.PlatformSettings(
@@ -130,6 +133,8 @@
             metrics=(name, METRICS_PORT),
             keep_for=5.0,
         )
+        if limited:
+            self.network.set_link(name, settings.gateway.link)
         return await asyncio.create_task(self._start_gateway(settings))
 
     async def _start_gateway(self, settings):
