Failing test first: a large configuration on slow links; known-red list

- test_watch_is_not_left_while_a_large_configuration_arrives (others 10 Mbit/s): the first of five publications arrives; 2.5 s after the second, published at another moment between heartbeats, 11 of 12 processes lack it: assert (1, ['gw-0', ... 11 names]) == (1, []).
- test_small_change_of_a_large_configuration_arrives_on_slow_links (others 5 Mbit/s): 2.5 s after the publication 11 of 12 processes lack it: assert ['gw-0', ... 11 names] == [].

conftest.py expects exactly the listed tests to fail, strictly, and names them in the summary; a run of the whole suite fails if it does not find one.

--- /dev/null
+++ b/boragegw/platform/tests/test_large_configuration.py
@@ -0,0 +1,95 @@
+"""A large configuration on slow links."""
+
+import asyncio
+
+from boragegw import standins
+
+in_memory = standins.in_memory
+
+#: Seconds after a publication until it is in force everywhere, the users' bound.
+CONFIG_APPLY = 2.5
+#: Seconds after the start of a process until it is ready.
+START = 3.0
+#: Seconds in which a new installation has settled.
+SETTLED = 10.0
+GATEWAYS = 12
+#: Routes of a large configuration; its JSON has 0.37 MB.
+ROUTES = 1300
+#: Mbit/s of the one large machine, and of the others.
+FAST = 200.0
+USUAL = 10.0
+SLOW = 5.0
+#: Publications one after the other, and seconds from the end of one to the next.
+PUBLICATIONS = 5
+BETWEEN = 0.1
+
+
+async def settled(routes, link):
+    """Return an installation of one large machine and others on links of ``link``."""
+    installation = standins.WireWorld()
+    await installation.store.start()
+    installation.publish(routes)
+    for number in range(3):
+        await installation.add_backend(f"i-{number}")
+    for number in range(GATEWAYS):
+        rate = FAST if number == 3 else link
+        await installation.add_gateway(f"gw-{number}", link=rate, limited=True)
+    await asyncio.sleep(SETTLED)
+    assert late(installation) == []
+    return installation
+
+
+def late(installation):
+    """Return the names of processes without the version published last."""
+    version = installation.version
+    return [
+        name
+        for name, process in installation.processes.items()
+        if process.board.configuration is None
+        or process.board.configuration.version != version
+    ]
+
+
+async def refusing(installation, route):
+    """Return the names of processes that do not serve ``route``."""
+    names = list(installation.processes)
+    path = f"{route['prefix']}x"
+    calls = [installation.call(path, to=name, host=route["host"]) for name in names]
+    replies = await asyncio.gather(*calls)
+    return [
+        name for name, reply in zip(names, replies, strict=True) if reply.status != 200
+    ]
+
+
+@in_memory
+async def test_watch_is_not_left_while_a_large_configuration_arrives():
+    """Published at several moments between two heartbeats, which tell of it."""
+    installation = await settled([standins.WireWorld.route()], USUAL)
+    for number in range(PUBLICATIONS):
+        await asyncio.sleep(BETWEEN)
+        routes = standins.many_routes(ROUTES, seed=number)
+        installation.publish(routes)
+        await asyncio.sleep(CONFIG_APPLY)
+        assert (number, late(installation)) == (number, [])
+        assert (number, await refusing(installation, routes[-1])) == (number, [])
+
+
+@in_memory
+async def test_small_change_of_a_large_configuration_arrives_on_slow_links():
+    routes = standins.many_routes(ROUTES)
+    installation = await settled(routes, SLOW)
+    routes += standins.many_routes(1, seed=2)
+    installation.publish(routes)
+    await asyncio.sleep(CONFIG_APPLY)
+    assert late(installation) == []
+    assert await refusing(installation, routes[-1]) == []
+
+
+@in_memory
+async def test_process_on_a_slow_link_starts_in_time_with_a_large_configuration():
+    routes = standins.many_routes(ROUTES)
+    installation = await settled(routes, SLOW)
+    process = await installation.add_gateway("gw-new", link=SLOW, limited=True)
+    await asyncio.sleep(START)
+    assert process.board.ready
+    assert await refusing(installation, routes[0]) == []
--- a/boragegw/standins/__init__.py
+++ b/boragegw/standins/__init__.py
@@ -22,6 +22,7 @@
 from boragegw.standins._wire_backend import WireBackend, WireFaults
 from boragegw.standins._wire_load import CallerLoad, Shares, noisy_world
 from boragegw.standins._wire_noise import NoisyBackend
+from boragegw.standins._wire_routes import many_routes
 from boragegw.standins._wire_store import WireStore
 from boragegw.standins._wire_world import STORE, WireWorld, request_bytes
 
@@ -29,6 +30,7 @@
     "HOST",
     "STORE",
     "in_memory",
+    "many_routes",
     "noisy_world",
     "AnswerEvent",
     "BackendFaults",
--- /dev/null
+++ b/boragegw/standins/_wire_routes.py
@@ -0,0 +1,30 @@
+"""Many routes, as a large configuration has them."""
+
+import random
+import string
+
+
+def many_routes(count, seed=1, service="app"):
+    """Return ``count`` routes with random hosts and prefixes, 0.3 KB of JSON each."""
+    random_state = random.Random(seed)
+
+    def word(length):
+        return "".join(random_state.choices(string.ascii_lowercase, k=length))
+
+    return [
+        {
+            "name": f"r-{number:04}-{word(8)}",
+            "host": f"{word(14)}.example",
+            "prefix": f"/{word(18)}/",
+            "route_type": "safe",
+            "timeout_s": 2.0,
+            "target_latency_s": 0.5,
+            "priority": 1,
+            "max_attempts": 2,
+            "traffic_split": [
+                {"service": service, "weight": 90},
+                {"service": "other", "weight": 0},
+            ],
+        }
+        for number in range(count)
+    ]
--- a/boragegw/standins/_wire_world.py
+++ b/boragegw/standins/_wire_world.py
@@ -32,6 +32,8 @@
     """A small installation in memory.
 
     :param seed: seeds every process.
+
+    ``version`` is the number of the configuration that was published last.
     """
 
     def __init__(self, seed=1):
@@ -41,7 +43,7 @@
         self.store = _wire_store.WireStore(STORE)
         self.processes = {}
         self.backends = {}
-        self._version = 0
+        self.version = 0
         self._ids = 0
 
     async def start(self, gateways=1, backends=3, data_centres=("dc-a",), **route):
@@ -77,12 +79,12 @@
 
     def publish(self, routes, services=("app", "other"), version=None, **limits):
         """Write a configuration."""
-        self._version = self._version + 2 if version is None else version
+        self.version = self.version + 2 if version is None else version
         fields = {"health_path": "/health", "max_conns": 100, "warmup_s": 3.0}
         self.store.put(
             "op/config",
             {
-                "version": f"r{self._version}",
+                "version": f"r{self.version}",
                 "routes": routes,
                 "services": [
                     {"name": name, "warmup_per_s": 10.0, **fields} for name in services
--- /dev/null
+++ b/boragegw/standins/tests/test_known_red.py
@@ -0,0 +1,78 @@
+"""Tests known to fail are passed over: exactly these, and only while they do."""
+
+import importlib.util
+import pathlib
+import types
+
+import pytest
+
+import boragegw
+
+ROOT = pathlib.Path(boragegw.__file__).parents[1]
+TEXT = """\
+test: a/test_a.py::test_one[x y]
+command: pytest a/test_a.py, seed 1
+seen: 3 == 4; as in test: b
+issue: 7
+
+test: a/test_a.py::test_gone
+"""
+
+
+class Item:
+    """A collected test."""
+
+    def __init__(self, nodeid):
+        self.nodeid = nodeid
+        self.markers = []
+
+    def add_marker(self, marker):
+        self.markers.append(marker)
+
+
+@pytest.fixture(name="module")
+def load():
+    spec = importlib.util.spec_from_file_location("root", ROOT / "conftest.py")
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+def test_only_lines_that_begin_so_name_tests(module):
+    assert module.listed(TEXT) == [
+        "a/test_a.py::test_one[x y]",
+        "a/test_a.py::test_gone",
+    ]
+    assert module.listed("") == []
+
+
+def test_exactly_the_listed_tests_are_strictly_expected_to_fail(module):
+    names = ("test_one[x y]", "test_one[x]", "test_one", "test_two")
+    items = [Item(f"a/test_a.py::{name}") for name in names]
+    missing = module.mark(items, module.listed(TEXT))
+    assert missing == ["a/test_a.py::test_gone"]
+    (marker,) = items[0].markers
+    assert marker.name == "xfail"
+    assert marker.kwargs["strict"] is True
+    assert not any(item.markers for item in items[1:])
+
+
+@pytest.mark.parametrize(
+    ("source", "fails"),
+    [("ARGS", False), ("TESTPATHS", True), ("INVOCATION_DIR", True)],
+)
+def test_run_of_the_whole_suite_fails_without_a_listed_test(
+    module, tmp_path, source, fails
+):
+    (tmp_path / module.FILE).write_text(TEXT)
+    config = types.SimpleNamespace(
+        rootpath=tmp_path,
+        stash=pytest.Stash(),
+        args_source=pytest.Config.ArgsSource[source],
+    )
+    session = types.SimpleNamespace(config=config, exitstatus=0)
+    items = [Item("a/test_a.py::test_one[x y]")]
+    module.pytest_collection_modifyitems(config, items)
+    module.pytest_sessionfinish(session)
+    assert bool(session.exitstatus) is fails
+    assert config.stash[module.LISTED] == ["a/test_a.py::test_one[x y]"]
