An answer that is arriving is not given up for another source's

What callers saw: 404 for routes that were in force elsewhere, and requests handled by the configuration before (DENIED, CONFIG), for up to 10 s after a configuration with 1,284 routes more; a process that started on a slow link never became ready.

Cause: limits in seconds from a start, for work whose time grows with the amount to transfer, with the link and with the number that ask. A watch was left 0.3 s after its start once another process knew more, also while its answer was arriving; the transfer was thrown away and begun anew elsewhere, for ever on a link of 10 Mbit/s, 298 KB in 0.3 s. The first reading had 1.0 s for all of it.

Now an answer has a limit for its beginning, and then for each silence (1.0 s), none for its whole. While bytes arrive no other source is asked. Where nothing arrives the wait doubles with each source left (0.3 to 2.4 s), so that it ends also where many ask at once. It counts from the moment at which this process is known to be behind, not from the start of a watch that may be 20 s old.

--- a/boragegw/gateway/__init__.py
+++ b/boragegw/gateway/__init__.py
@@ -9,11 +9,13 @@
 from boragegw.gateway._directory import DirectoryPolicy
 from boragegw.gateway._endpoint import Endpoint, Reply
 from boragegw.gateway._events import EventLog
+from boragegw.gateway._fetch import Fetched, Fetcher
 from boragegw.gateway._follower import Follower
 from boragegw.gateway._front import BodyMemory, FrontConnection, Request
 from boragegw.gateway._knowledge import (
     Decoder,
     HistoryLostError,
+    Progress,
     Reading,
     Record,
     Source,
@@ -46,6 +48,8 @@
     "EventLog",
     "ExchangeError",
     "Failure",
+    "Fetched",
+    "Fetcher",
     "Follower",
     "FrontConnection",
     "Gateway",
@@ -58,6 +62,7 @@
     "Outcome",
     "Place",
     "Pool",
+    "Progress",
     "Reading",
     "Record",
     "Reply",
--- /dev/null
+++ b/boragegw/gateway/_fetch.py
@@ -0,0 +1,94 @@
+"""Fetches answers over HTTP from one address, as long as they keep arriving."""
+
+import asyncio
+import dataclasses
+
+from boragegw.gateway import _knowledge, _upstream
+
+#: Bytes of one answer that are accepted.
+ANSWER_LIMIT = 16 << 20
+#: Connections to one address: one watch and one read.
+CONNECTIONS = 4
+#: Seconds without a byte after which an answer that has begun is given up. Its whole
+#: has no limit: that time grows with the answer, the link and the number that ask.
+STALL = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fetched:
+    """A whole answer.
+
+    :param headers: pairs of bytes, names in lower case.
+    """
+
+    status: int
+    headers: list
+    body: bytes
+
+
+class Fetcher:
+    """Asks one address; each answer is whole or an error.
+
+    :param address: ``(host, port)``.
+    :param now: function that returns monotonic seconds.
+    :param counters: the board's counters.
+    :param counter: name under which calls are counted.
+    :ivar progress: :class:`~boragegw.gateway.Progress` of the present answer.
+    """
+
+    def __init__(self, address, now, counters, counter):
+        self.address = address
+        self.now = now
+        self.counters = counters
+        self.counter = counter
+        self.progress = _knowledge.Progress()
+        self._pool = _upstream.Pool(address, now)
+
+    async def get(self, path, patience):
+        """Return the :class:`Fetched` answer to GET ``path``.
+
+        :param patience: seconds until the answer has begun.
+        :raises SourceError: if there is none, or it stops arriving.
+        """
+        self.counters[self.counter] += 1
+        host, port = self.address
+        request = f"GET {path} HTTP/1.1\r\nhost: {host}:{port}\r\n\r\n".encode()
+        try:
+            connection = await self._pool.acquire(CONNECTIONS)
+        except _upstream.ExchangeError as error:
+            raise _knowledge.SourceError(str(error)) from error
+        try:
+            async with asyncio.timeout(patience) as limit:
+                answer = await connection.start(request, lambda answer: True)
+                body = await self._whole_body(answer, limit)
+        except (_upstream.ExchangeError, TimeoutError) as error:
+            self._pool.discard(connection)
+            raise _knowledge.SourceError(str(error) or "no answer in time") from error
+        except asyncio.CancelledError:
+            self._pool.discard(connection)
+            raise
+        finally:
+            self.progress.end()
+        self._pool.release(connection)
+        return Fetched(answer.status, answer.headers, body)
+
+    async def _whole_body(self, answer, limit):
+        body = bytearray()
+        while True:
+            limit.reschedule(asyncio.get_running_loop().time() + STALL)
+            chunk = answer.take()
+            self.counters["sources.bytes"] += len(chunk)
+            self.progress.received += len(chunk)
+            body += chunk
+            if len(body) > ANSWER_LIMIT:
+                raise _upstream.ExchangeError(_upstream.Failure.MALFORMED)
+            if answer.complete and not answer.body:
+                return bytes(body)
+            if answer.error is not None:
+                raise answer.error
+            if not answer.complete:
+                await answer.changed()
+
+    def close(self):
+        """Close the idle connections."""
+        self._pool.close()
--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -12,9 +12,6 @@
 #: a watch may hear nothing at all, and nobody else may know more.
 FIRST_WATCH_WAIT = 1.0
 LONGEST_WATCH_WAIT = 20.0
-#: Seconds that one read may take; the store answers in 4 ms, a hundred times slower
-#: on bad days.
-READ_TIMEOUT = 1.0
 #: Seconds between tries of the store while it does not answer: of the processes that
 #: watch it, and of all others.
 WATCHER_RETRY = 0.4
@@ -23,8 +20,11 @@
 #: seconds before the second try.
 FAILURES_TO_LOSE = 2
 FIRST_RETRY = 0.05
-#: Seconds for which this process may know less than another one before it reads anew.
+#: Seconds for which this process may know less than another one, while nothing
+#: arrives, before it asks another source; twice as long after each that was left, up to
+#: the second figure.
 LAG_LIMIT = 0.3
+LONGEST_LAG_LIMIT = 2.4
 #: Seconds after a change before the next watch, so that several changes in quick
 #: succession cost one call.
 SETTLE = 0.4
@@ -77,6 +77,8 @@
         self._peer = None
         self._failures = 0
         self._watching_since = math.inf
+        self._behind_since = math.inf
+        self._lag_limit = LAG_LIMIT
         self._wait = FIRST_WATCH_WAIT
         self._must_reread = True
         self._avoided = {}
@@ -236,11 +238,7 @@
         self._note_revision()
 
     async def _reread(self, name):
-        try:
-            async with asyncio.timeout(READ_TIMEOUT):
-                reading = await self._source(name).read_all()
-        except TimeoutError as error:
-            raise _knowledge.SourceError("no answer in time") from error
+        reading = await self._source(name).read_all()
         self._succeeded(name)
         self._must_reread = False
         self._wait = FIRST_WATCH_WAIT
@@ -252,6 +250,7 @@
 
     def _succeeded(self, name):
         self._failures = 0
+        self._lag_limit = LAG_LIMIT
         if name is not None:
             return
         own = self.membership.own
@@ -302,20 +301,39 @@
         Guards against a watch that never returns: the connection to the store or to
         a peer was forgotten on the way, or the peer lost power. It shows in another
         process's heartbeat, which names a revision that is not known here.
+
+        An answer that is arriving is never given up for another one: that would begin
+        with its first byte. A source that stalls in the middle fails by itself.
         """
         self.catalogue.settle()
         now = self.now()
         if any(not m.reads_store for m in self.membership.alive()):
             self.catalogue.trouble_at = now
-        # Counted from the start of the present watch: a limit that runs on while a new
-        # watch begins would end that one too, before its answer.
-        if self.lag and now - self._watching_since > LAG_LIMIT:
+        self._note_lag(now)
+        if self._reading_from.progress.received:
+            return
+        if self._waited_behind(now) > self._lag_limit:
+            self._lag_limit = min(2 * self._lag_limit, LONGEST_LAG_LIMIT)
             self._leave_source("behind the others")
         elif self._following is not None and not self._still_good(self._following):
             self._leave_source("it no longer watches the store")
         elif self._is_misplaced():
             self._wake.set()
 
+    def _note_lag(self, now):
+        if not self.lag:
+            self._behind_since = math.inf
+        elif self._behind_since == math.inf:
+            self._behind_since = now
+
+    def _waited_behind(self, now):
+        """Return the seconds for which the present watch should have brought more.
+
+        Counted from its start at the earliest: a limit that runs on while a new watch
+        begins would end that one too, before its answer.
+        """
+        return now - max(self._watching_since, self._behind_since)
+
     def _leave_source(self, reason):
         name = self._following
         received = self._reading_from.progress.received
--- a/boragegw/gateway/_knowledge.py
+++ b/boragegw/gateway/_knowledge.py
@@ -2,7 +2,6 @@
 
 import abc
 import dataclasses
-import math
 
 #: Seconds for which a server that disappears is kept while the platform's store has
 #: just had trouble. Entries that lapsed meanwhile are back within about two seconds;
@@ -42,21 +41,13 @@
     """How far the present answer of a source has arrived.
 
     :param received: bytes so far; 0 while none is awaited.
-    :param moved_at: monotonic seconds at which the last of them came.
     """
 
     received: int = 0
-    moved_at: float = -math.inf
-
-    def move(self, size, now):
-        """Note ``size`` more bytes."""
-        self.received += size
-        self.moved_at = now
 
     def end(self):
         """Note that the answer is whole or was given up."""
         self.received = 0
-        self.moved_at = -math.inf
 
 
 class SourceError(Exception):
@@ -68,13 +59,12 @@
 
 
 class Source(abc.ABC):
-    """The platform's store, or another process that watches it.
-
-    :ivar progress: :class:`Progress` of the answer that is awaited.
-    """
+    """The platform's store, or another process that watches it."""
 
-    def __init__(self):
-        self.progress = Progress()
+    @property
+    @abc.abstractmethod
+    def progress(self):
+        """The :class:`Progress` of the present answer."""
 
     @abc.abstractmethod
     async def read_all(self):
--- a/boragegw/platform/_store.py
+++ b/boragegw/platform/_store.py
@@ -1,6 +1,5 @@
 """The one client of the platform's store, and of processes that serve the same form."""
 
-import asyncio
 import base64
 import binascii
 
@@ -8,13 +7,9 @@
 
 from boragegw import gateway
 
-#: Seconds for an answer besides the time that a watch waits; the store answers in
-#: 4 ms, up to a hundred times slower on bad days.
+#: Seconds until an answer begins, besides the time that a watch waits; the store
+#: answers in 4 ms, up to a hundred times slower on bad days.
 ANSWER_TIMEOUT = 1.0
-#: Bytes of one answer that are accepted: pages hold at most about 1 MB.
-ANSWER_LIMIT = 16 << 20
-#: Connections to one address: one watch and one read.
-CONNECTIONS = 4
 HISTORY_LOST = 410
 
 
@@ -52,15 +47,19 @@
     """
 
     def __init__(self, address, now, counters, counter="store.calls"):
-        super().__init__()
         self.address = address
-        self.counter = counter
         self.now = now
         self.counters = counters
-        self._pool = gateway.Pool(address, now)
+        self.counter = counter
+        self._fetcher = gateway.Fetcher(address, now, counters, counter)
         self._pages = msgspec.json.Decoder(WirePage)
         self._events = msgspec.json.Decoder(WireEvents)
 
+    @property
+    def progress(self):
+        """How far the present answer has arrived."""
+        return self._fetcher.progress
+
     async def read_all(self):
         """Return a reading of all records.
 
@@ -89,55 +88,20 @@
             [_record(item) for item in changes.events], changes.as_of
         )
 
-    async def _get(self, path, decoder, timeout):
-        self.counters[self.counter] += 1
-        host, port = self.address
-        request = f"GET {path} HTTP/1.1\r\nhost: {host}:{port}\r\n\r\n".encode()
-        try:
-            connection = await self._pool.acquire(CONNECTIONS)
-        except gateway.ExchangeError as error:
-            raise gateway.SourceError(str(error)) from error
-        try:
-            async with asyncio.timeout(timeout):
-                answer = await connection.start(request, lambda answer: True)
-                body = await self._whole_body(answer)
-        except (gateway.ExchangeError, TimeoutError) as error:
-            self._pool.discard(connection)
-            raise gateway.SourceError(str(error) or "no answer in time") from error
-        except asyncio.CancelledError:
-            self._pool.discard(connection)
-            raise
-        finally:
-            self.progress.end()
-        self._pool.release(connection)
+    async def _get(self, path, decoder, patience):
+        answer = await self._fetcher.get(path, patience)
         if answer.status == HISTORY_LOST:
             raise gateway.HistoryLostError(f"{path}: status {answer.status}")
         if answer.status != 200:
             raise gateway.SourceError(f"status {answer.status}")
         try:
-            return decoder.decode(body)
+            return decoder.decode(answer.body)
         except (msgspec.DecodeError, msgspec.ValidationError) as error:
             raise gateway.SourceError(f"unreadable answer: {error}") from error
 
-    async def _whole_body(self, answer):
-        body = bytearray()
-        while True:
-            chunk = answer.take()
-            self.counters["sources.bytes"] += len(chunk)
-            self.progress.move(len(chunk), self.now())
-            body += chunk
-            if len(body) > ANSWER_LIMIT:
-                raise gateway.ExchangeError(gateway.Failure.MALFORMED)
-            if answer.complete and not answer.body:
-                return bytes(body)
-            if answer.error is not None:
-                raise answer.error
-            if not answer.complete:
-                await answer.changed()
-
     def close(self):
         """Close the idle connections."""
-        self._pool.close()
+        self._fetcher.close()
 
 
 def _record(item):
--- a/boragegw/platform/tests/test_large_configuration.py
+++ b/boragegw/platform/tests/test_large_configuration.py
@@ -13,6 +13,8 @@
 #: Seconds in which a new installation has settled.
 SETTLED = 10.0
 GATEWAYS = 12
+#: Entries of backend servers that make the first reading large; 0.24 MB of JSON.
+ENTRIES = 600
 #: Routes of a large configuration; its JSON has 0.37 MB.
 ROUTES = 1300
 #: Mbit/s of the one large machine, and of the others.
@@ -93,3 +95,29 @@
     await asyncio.sleep(START)
     assert process.board.ready
     assert await refusing(installation, routes[0]) == []
+
+
+@in_memory
+async def test_first_reading_has_no_limit_while_it_arrives():
+    """A reading of over a second was given up and begun anew, for ever."""
+    installation = standins.WireWorld()
+    await installation.store.start()
+    installation.publish(standins.many_routes(ROUTES))
+    backend = await installation.add_backend("i-0")
+    for number in range(ENTRIES):
+        installation.store.put(f"servers/i-x{number}", backend.entry("other"))
+    process = await installation.add_gateway("gw-0", link=SLOW, limited=True)
+    await asyncio.sleep(START)
+    assert process.board.ready
+
+
+@in_memory
+async def test_source_that_falls_silent_in_the_middle_of_an_answer_is_left():
+    installation = await settled([standins.WireWorld.route()], USUAL)
+    installation.publish(standins.many_routes(ROUTES))
+    await asyncio.sleep(0.2)
+    for one, other in installation.network.connections:
+        if {one.local[0], one.remote[0]} == {"gw-0", "gw-3"}:
+            one.silent = other.silent = True
+    await asyncio.sleep(CONFIG_APPLY)
+    assert late(installation) == []
