A process that knows less than another one does not answer 404

Cause: a request that no route matches was taken for wrong whatever the process knew of its own state. It hears by heartbeat that others know a later revision, and knows when no source answers it.

Now such a request is refused as not run, 503 with Retry-After 0.3 s, while this process is behind or its source fails; 404 is for a process that knows the latest. Counter requests.behind.

Failing before: test_missing_route_is_not_denied_while_the_configuration_is_behind (404 == 503). The bound for the configuration itself is as it was: requests that an older route matches are served by it.

--- a/boragegw/gateway/_carrier.py
+++ b/boragegw/gateway/_carrier.py
@@ -27,6 +27,9 @@
 RETRY_QUARANTINED = 60.0
 #: Seconds that a caller is told to wait while no configuration is known yet.
 RETRY_UNCONFIGURED = 0.3
+#: Seconds that a caller is told to wait whose route may be in a configuration that this
+#: process has not read yet.
+RETRY_BEHIND = 0.3
 #: Seconds that a caller is told to wait whose route leads to no service that is known:
 #: an operator has to publish another configuration first.
 RETRY_UNKNOWN_SERVICE = 2.0
@@ -103,8 +106,7 @@
         path = request.target.partition(b"?")[0].decode("latin-1")
         route = configuration.routes.match(host, path)
         if route is None:
-            self.board.counters["requests.no_route"] += 1
-            self._refuse(request, request_id, writer, 404)
+            self._refuse_without_route(request, request_id, writer)
             return None
         if self.sender.is_quarantined(request):
             self.board.counters["requests.quarantined"] += 1
@@ -347,6 +349,19 @@
             return 504 if now >= call.give_up_at else 502
         return 503
 
+    def _refuse_without_route(self, request, request_id, writer):
+        """Refuse a request that no route matches.
+
+        Guards against a 404 for a route that others have in force already: only a
+        process that knows the latest configuration can say that there is none.
+        """
+        if self.board.behind:
+            self.board.counters["requests.behind"] += 1
+            self._refuse(request, request_id, writer, 503, RETRY_BEHIND)
+            return
+        self.board.counters["requests.no_route"] += 1
+        self._refuse(request, request_id, writer, 404)
+
     def _refuse(self, request, request_id, writer, status, retry_after=None):
         close = self.board.stopping
         if close:
--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -247,6 +247,7 @@
 
     def _note_revision(self):
         self.membership.own.revision = self.catalogue.revision
+        self._note_lag(self.now())
 
     def _succeeded(self, name):
         self._failures = 0
@@ -268,6 +269,7 @@
         them either while the store is dropping its history: only a full read tells.
         """
         self._failures += 1
+        self.membership.board.behind = True
         self._must_reread = True
         if name is not None:
             self._avoided[name] = self.now() + 2.0
@@ -321,6 +323,7 @@
             self._wake.set()
 
     def _note_lag(self, now):
+        self.membership.board.behind = bool(self.lag or self._failures)
         if not self.lag:
             self._behind_since = math.inf
         elif self._behind_since == math.inf:
--- a/boragegw/gateway/_metrics.py
+++ b/boragegw/gateway/_metrics.py
@@ -16,6 +16,7 @@
     "requests.failed.*": "requests that the gateway ended itself, by status",
     "requests.late": "answers that came after their route's target latency",
     "requests.no_route": "requests that no route of the configuration matches",
+    "requests.behind": "requests without a route while others know a later revision",
     "requests.no_service": "requests whose route leads to no known service",
     "requests.unconfigured": "requests refused before the first configuration",
     "requests.defects": "requests that an error of the gateway itself ended",
--- a/boragegw/platform/tests/test_large_configuration.py
+++ b/boragegw/platform/tests/test_large_configuration.py
@@ -21,6 +21,7 @@
 FAST = 200.0
 USUAL = 10.0
 SLOW = 5.0
+TINY = 0.15
 #: Publications one after the other, and seconds from the end of one to the next.
 PUBLICATIONS = 5
 BETWEEN = 0.1
@@ -121,3 +122,20 @@
             one.silent = other.silent = True
     await asyncio.sleep(CONFIG_APPLY)
     assert late(installation) == []
+
+
+@in_memory
+async def test_missing_route_is_not_denied_while_the_configuration_is_behind():
+    installation = await settled([standins.WireWorld.route()], TINY)
+    routes = standins.many_routes(ROUTES)
+    installation.publish(routes)
+    await asyncio.sleep(0.7)
+    behind = late(installation)
+    assert len(behind) == GATEWAYS - 1
+    arguments = {"path": f"{routes[-1]['prefix']}x", "host": routes[-1]["host"]}
+    refused = await installation.call(to=behind[0], **arguments)
+    assert refused.status == 503
+    assert float(refused.headers["retry-after"]) > 0
+    await asyncio.sleep(60.0)
+    assert (await installation.call(to=behind[0], **arguments)).status == 200
+    assert (await installation.call("/none/", to=behind[0])).status == 404
