--- a/boragegw/gateway/_catalogue.py
+++ b/boragegw/gateway/_catalogue.py
@@ -1,13 +1,14 @@
 """Adopts published records: servers, configuration, evacuations; never goes back."""
 
 import asyncio
-import bisect
+import itertools
 
 from boragegw import balancing
 from boragegw.gateway import _knowledge
 
-#: Changes that are kept for other processes that follow this one.
-HISTORY = 2000
+#: Deletions that are kept for other processes that follow this one. Of a record that
+#: was put several times the latest is enough.
+DELETIONS = 2000
 
 
 class Catalogue:
@@ -29,7 +30,8 @@
         self.on_change = None
         self.trouble_at = float("-inf")
         self._records = {}
-        self._history = []
+        self._deleted = {}
+        self._revision = 0
         self._history_from = 0
         self._position = -1
         self._doubted = {}
@@ -43,11 +45,7 @@
     @property
     def revision(self):
         """Greatest revision of a record that is known."""
-        return self._history[-1].revision if self._history else max(0, self._floor)
-
-    @property
-    def _floor(self):
-        return max((r.revision for r in self._records.values()), default=0)
+        return self._revision
 
     # What other processes read.
 
@@ -62,8 +60,10 @@
         """
         if after < self._history_from:
             raise _knowledge.HistoryLostError(f"changes after {after} are not kept")
-        start = bisect.bisect_right(self._history, after, key=lambda r: r.revision)
-        return _knowledge.Reading(self._history[start:], self._position)
+        known = itertools.chain(self._records.values(), self._deleted.values())
+        records = [record for record in known if record.revision > after]
+        records.sort(key=lambda record: record.revision)
+        return _knowledge.Reading(records, self._position)
 
     async def wait_for_change(self, timeout):
         """Wait until a record has changed, or ``timeout`` seconds have passed."""
@@ -83,20 +83,43 @@
                 "stale-reading", position=reading.position, known=self._position
             )
             return False
-        fresh = {record.key: record for record in reading.records}
-        for key in set(self._records) - set(fresh):
-            del self._records[key]
-            self._remove(key)
-        for key, record in fresh.items():
-            known = self._records.get(key)
-            if known is None or known.revision < record.revision:
-                self._records[key] = record
-                self._put(record)
-        self._history.clear()
-        self._history_from = self._position = reading.position
+        changed, deleted = self._differences(reading)
+        if self._missed(changed, deleted, reading.position):
+            self._history_from = reading.position
+            self.log.event("changes-missed", position=reading.position)
+        for record in itertools.chain(deleted, changed):
+            self._apply(record)
+        if self._position < 0:
+            self._history_from = reading.position
+        self._position = reading.position
         self._finish()
         return True
 
+    def _differences(self, reading):
+        """Return the records that a full reading changes, and those that it lacks."""
+        fresh = {record.key: record for record in reading.records}
+        changed = [
+            record
+            for key, record in fresh.items()
+            if key not in self._records or self._records[key].revision < record.revision
+        ]
+        deleted = [
+            _knowledge.Record(key, None, reading.position)
+            for key in self._records
+            if key not in fresh
+        ]
+        return changed, deleted
+
+    def _missed(self, changed, deleted, position):
+        """Return whether a full reading shows what should have been known before.
+
+        Guards against changes that a watch has not told: those that follow this process
+        have passed them too, and only a full reading tells them.
+        """
+        if deleted and position == self._position:
+            return True
+        return any(record.revision <= self._position for record in changed)
+
     def adopt_changes(self, reading):
         """Apply the changes of a watch that are newer than what is known."""
         for record in sorted(reading.records, key=lambda r: r.revision):
@@ -111,20 +134,23 @@
             self._finish()
 
     def _apply(self, record):
-        if self._history and record.revision < self._history[-1].revision:
-            bisect.insort(self._history, record, key=lambda r: r.revision)
-        else:
-            self._history.append(record)
-        if len(self._history) > HISTORY:
-            half = HISTORY // 2
-            self._history_from = self._history[half - 1].revision
-            del self._history[:half]
-        if record.value is None:
-            self._records.pop(record.key, None)
-            self._remove(record.key)
-        else:
+        self._revision = max(self._revision, record.revision)
+        if record.value is not None:
+            self._deleted.pop(record.key, None)
             self._records[record.key] = record
             self._put(record)
+            return
+        self._records.pop(record.key, None)
+        # At the end, where the latest deletions stand.
+        self._deleted.pop(record.key, None)
+        self._deleted[record.key] = record
+        self._forget_deletions()
+        self._remove(record.key)
+
+    def _forget_deletions(self):
+        while len(self._deleted) > DELETIONS:
+            forgotten = self._deleted.pop(next(iter(self._deleted)))
+            self._history_from = max(self._history_from, forgotten.revision)
 
     def _finish(self):
         evacuated = {self.decoder.evacuated(r) for r in self._records.values()}
