A source has as many followers as its link bears

All processes of a data centre followed the one that watches the store: the time until the last one has a change grows with their number. By arithmetic, one source of 5 Mbit/s and an answer of 42 KB: 20 s for 290 followers.

Now the processes of a data centre stand in one order, roots first, then by link and name, and a process follows one before it such that each has one follower for each 4 Mbit/s of its link, two at least. Processes that know different others still follow only those before them, so there is no circle; where a root stops being one, only the later of two may go on following the earlier. Up to 25 processes behind a link of 100 Mbit/s, and 50 behind 200, all follow the root as before, so the deployments of today hardly change.

--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -4,7 +4,7 @@
 import math
 
 from boragegw import utils
-from boragegw.gateway import _knowledge, _peer_messages
+from boragegw.gateway import _fanout, _knowledge, _peer_messages
 
 #: Seconds that a watch waits for a change: at first, and at most after it has doubled
 #: with each one that ended well. Calls to the store are scarce, and a silent connection
@@ -155,20 +155,26 @@
         }
 
     def _best_peer(self):
-        now = self.now()
+        """Return the name of the process to follow, or ``None`` if none can be."""
         own = self.membership.own
-        peers = [
+        candidates = self._candidates()
+        near = [m for m in candidates if m.data_centre == own.data_centre]
+        source = _fanout.source_for(own, near)
+        if source is None:
+            away = [m for m in candidates if _fanout.is_root(m)]
+            source = self.random_state.choice(away) if away else None
+        return None if source is None else source.name
+
+    def _candidates(self):
+        """Return the members that know something and did not fail of late."""
+        now = self.now()
+        return [
             member
             for member in self.membership.alive()
-            if member.watches_store
-            and member.reads_store
+            if member.revision
             and member.life != _peer_messages.Life.LEAVING
             and self._avoided.get(member.name, -math.inf) <= now
         ]
-        if not peers:
-            return None
-        local = [m for m in peers if m.data_centre == own.data_centre]
-        return self.random_state.choice(local or peers).name
 
     def _knows_nothing_while_store_is_away(self):
         return self.catalogue.position < 0 and self._any_peer() is not None
@@ -181,11 +187,7 @@
         """
         if self.catalogue.position >= 0 or not self._failures:
             return None
-        peers = [
-            member
-            for member in self.membership.alive()
-            if member.revision and self._avoided.get(member.name, 0.0) <= self.now()
-        ]
+        peers = self._candidates()
         if not peers:
             return None
         return max(peers, key=lambda member: member.revision).name
@@ -359,10 +361,12 @@
     def _still_good(self, name):
         if self.catalogue.position < 0:
             return True
-        for member in self.membership.alive():
-            if member.name == name:
-                return member.watches_store and member.reads_store
-        return False
+        members = {member.name: member for member in self.membership.alive()}
+        if name not in members:
+            return False
+        if not any(_fanout.is_root(member) for member in members.values()):
+            return False
+        return _fanout.may_follow(self.membership.own, members[name])
 
     def _is_misplaced(self):
         """Return whether the store should be watched instead, or no longer."""
