First requests wait while the first reading arrives

What callers saw: nothing on the deployments of today, where it comes within 15 ms; on a link of 2 Mbit/s and 1,300 routes, refusals for 1.7 s of a process's first 2 s, though the configuration was arriving.

Cause: requests waited 0.3 s from the start for a reading whose time grows with its bytes.

Now they wait as long as it is arriving, at most for the time that their caller gives; a process that hears nothing refuses at once as before.

Failing before: test_first_requests_wait_while_the_first_reading_arrives ([503, 503], expected [200, 503]).

--- a/boragegw/gateway/_carrier.py
+++ b/boragegw/gateway/_carrier.py
@@ -34,8 +34,11 @@
 #: an operator has to publish another configuration first.
 RETRY_UNKNOWN_SERVICE = 2.0
 #: Seconds after the start for which requests wait for the first configuration: it was
-#: seen to come within 15 ms. Later the store is away, and requests are refused at once.
+#: seen to come within 15 ms. Later they wait only while it is arriving; if the store is
+#: away, they are refused at once.
 FIRST_LEARNING = 0.3
+#: Seconds between looks whether the first configuration is still arriving.
+LEARNING_STEP = 0.05
 
 
 class Carrier:
@@ -79,7 +82,7 @@
 
     async def carry(self, request, writer):
         """Serve one request and write its answer."""
-        await self._wait_for_configuration()
+        await self._wait_for_configuration(request)
         call = self._admit(request, writer)
         if call is None:
             return
@@ -87,13 +90,16 @@
 
     # Admission.
 
-    async def _wait_for_configuration(self):
-        left = self._learning_until - self.now()
-        if self.board.configuration is not None or left <= 0:
-            return
-        with contextlib.suppress(TimeoutError):  # it is refused as unconfigured then
-            async with asyncio.timeout(left):
-                await self.board.configured.wait()
+    async def _wait_for_configuration(self, request):
+        """Wait for the first configuration while it is sure to come soon."""
+        patience = self.dialect.patience(request.headers)
+        end = request.arrived + (FIRST_LEARNING if patience is None else patience)
+        while self.board.configuration is None and self.now() < end:
+            if self.now() >= self._learning_until and not self.board.learning:
+                return
+            with contextlib.suppress(TimeoutError):  # looked at anew
+                async with asyncio.timeout(LEARNING_STEP):
+                    await self.board.configured.wait()
 
     def _admit(self, request, writer):
         configuration = self.board.configuration
--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -240,7 +240,8 @@
         self._note_revision()
 
     async def _reread(self, name):
-        reading = await self._source(name).read_all()
+        self._reading_from = self._source(name)
+        reading = await self._reading_from.read_all()
         self._succeeded(name)
         self._must_reread = False
         self._wait = FIRST_WATCH_WAIT
@@ -317,7 +318,9 @@
         if any(not m.reads_store for m in self.membership.alive()):
             self.catalogue.trouble_at = now
         self._note_lag(now)
-        if self._reading_from.progress.received:
+        arriving = bool(self._reading_from.progress.received)
+        self.membership.board.learning = arriving and self.catalogue.position < 0
+        if arriving:
             return
         if self._waited_behind(now) > self._lag_limit:
             self._lag_limit = min(2 * self._lag_limit, LONGEST_LAG_LIMIT)
--- a/boragegw/platform/tests/test_large_configuration.py
+++ b/boragegw/platform/tests/test_large_configuration.py
@@ -153,3 +153,20 @@
             one.abort()
     await asyncio.sleep(CONFIG_APPLY)
     assert counters["sources.bytes"] - before < CONTROL_BYTES
+
+
+@in_memory
+async def test_first_requests_wait_while_the_first_reading_arrives():
+    installation = standins.WireWorld()
+    await installation.store.start()
+    routes = standins.many_routes(ROUTES)
+    installation.publish(routes)
+    await installation.add_backend("i-0")
+    await installation.add_gateway("gw-0", link=2.0, limited=True)
+    await asyncio.sleep(0.5)
+    arguments = {"path": f"{routes[0]['prefix']}x", "host": routes[0]["host"]}
+    patient = installation.call(**arguments, x_deadline_ms="2500")
+    hurried = installation.call(**arguments, x_deadline_ms="800")
+    replies = await asyncio.gather(patient, hurried)
+    assert [reply.status for reply in replies] == [200, 503]
+    assert replies[1].seconds < 1.0
