A connection attempt that takes too long is no proof of a crash

What callers saw: while a link was so full that new connections took longer than 0.25 s, a non-idempotent request whose connections were reset three times was refused with 503 and Retry-After 60 by every process for a minute, although every server was well.

Cause: after a reset, Asker.has_crashed opens a connection to see whether anything still listens. Any failure to connect counted as a crash, also an attempt that ran into CONNECT_TIMEOUT; the attempt waits behind what is queued on the link. Three such attempts quarantine the request and the mark is spread to the other processes.

Before, test_slow_connects_do_not_show_that_a_request_crashes_servers: connects of 0.3 s, three resets (502), then with connects and servers well again: 503 instead of 200, Retry-After 60.000.

Now a refused or reset connection attempt is a failure of its own, Failure.REFUSED, and only that is proof. A server whose host is gone altogether is not told from a slow one any more: its requests are not counted against it. test_request_that_crashes_its_servers_is_refused_by_every_process, where the crashed servers refuse connections, passes as before.

--- a/boragegw/gateway/_asker.py
+++ b/boragegw/gateway/_asker.py
@@ -336,12 +336,16 @@
         return Place(offer, connection)
 
     async def has_crashed(self, server):
-        """Return whether nothing listens at the server's address any more."""
+        """Return whether it is proved that nothing listens at the server's address.
+
+        Only a refusal is proof: a connection that takes too long may wait on a full
+        link, while the server is well.
+        """
         await asyncio.sleep(CRASH_DELAY)
         try:
             connection = await self.pool(server).connect()
-        except _upstream.ExchangeError:
-            return True
+        except _upstream.ExchangeError as error:
+            return error.failure is _upstream.Failure.REFUSED
         self.pool(server).discard(connection)
         return False
 
--- a/boragegw/gateway/_upstream.py
+++ b/boragegw/gateway/_upstream.py
@@ -18,6 +18,7 @@
     """Why an exchange ended without a whole answer."""
 
     UNREACHABLE = "no connection could be opened"
+    REFUSED = "nothing listens at the address"
     RESET = "the connection broke off"
     TRUNCATED = "the answer broke off"
     MALFORMED = "bytes that are no answer"
@@ -355,6 +356,9 @@
                 _, connection = await loop.create_connection(
                     lambda: Connection(self.now), *self.address
                 )
+        except (ConnectionRefusedError, ConnectionResetError) as error:
+            self._open -= 1
+            raise ExchangeError(Failure.REFUSED) from error
         except (OSError, TimeoutError) as error:
             self._open -= 1
             raise ExchangeError(Failure.UNREACHABLE) from error
