No hedge while a good answer is arriving

What callers would see: slower downloads on a busy link. An answer of less than 128 KB is gathered whole before it is passed on, and the hedge looked at the whole answer only: one whose head was there and whose body was arriving was asked for a second time, and the same bytes were fetched twice over the link that was already the reason for the delay.

Cause: Carrier._run hedges at a time counted from the request's arrival, whatever has arrived of the answer since.

Before, test_answer_that_is_arriving_is_not_asked_for_twice: 90,000 bytes at 2 Mbit/s take 0.36 s; 2 runs instead of 1, the hedge after 0.22 s.

Now the sender notes when bytes of an answer come that can go to the caller (authentic, run, below 500), and the hedge is due after a silence of the hedge delay. An answer that stops arriving is still asked for elsewhere: test_answer_that_stops_arriving_is_asked_for_elsewhere, silent after 0.2 s, whole from another server after 0.82 s.

--- a/boragegw/gateway/_call.py
+++ b/boragegw/gateway/_call.py
@@ -35,6 +35,7 @@
     :param sends: times it was sent.
     :param records: a :class:`SendRecord` of each send.
     :param may_have_run: a send ended without proof that it did not run.
+    :param heard_at: monotonic seconds at which bytes of a good answer came last.
     """
 
     request: object
@@ -47,6 +48,7 @@
     sends: int = 0
     records: list = dataclasses.field(default_factory=list)
     may_have_run: bool = False
+    heard_at: float = 0.0
     spare_answer: object = None
     reason: str = ""
 
--- a/boragegw/gateway/_carrier.py
+++ b/boragegw/gateway/_carrier.py
@@ -156,7 +156,7 @@
         state = call.state
         sends = {loop.create_task(self.sender.send(call))}
         extra = set()
-        hedge_at = self._hedge_time(call, state)
+        hedge_at = self._hedge_time(call)
         winner = None
         try:
             while sends and winner is None:
@@ -166,8 +166,9 @@
                 if self._left(call):
                     break
                 if now >= hedge_at:
-                    hedge_at = math.inf
-                    if self._may_hedge(call, state, now):
+                    put_off = self._hedge_time(call)
+                    hedge_at = put_off if put_off > now else math.inf
+                    if hedge_at == math.inf and self._may_hedge(call, state, now):
                         self._note_extra("hedged", call, now)
                         hedge = loop.create_task(self.sender.send(call, hedge=True))
                         sends.add(hedge)
@@ -219,11 +220,12 @@
         if outcome.connection is not None:
             outcome.connection.abort()
 
-    def _hedge_time(self, call, state):
+    def _hedge_time(self, call):
+        """Return when to hedge if nothing more of an answer arrives until then."""
         if not call.idempotent or call.route.max_attempts < 2:
             return math.inf
-        delay = state.hedging.delay(call.route.target_latency)
-        return call.request.arrived + delay
+        delay = call.state.hedging.delay(call.route.target_latency)
+        return max(call.request.arrived, call.heard_at) + delay
 
     def _note_extra(self, kind, call, now):
         """Count and log a second send and what the budget has left for more."""
--- a/boragegw/gateway/_delivery.py
+++ b/boragegw/gateway/_delivery.py
@@ -20,14 +20,16 @@
 REASONS = {200: b"OK", 201: b"Created", 204: b"No Content", 500: b"Error"}
 
 
-async def gather(answer):
+async def gather(answer, heard):
     """Wait until the answer is whole or large enough to pass on.
 
+    :param heard: function that is called when a part has arrived and more is to come.
     :raises ExchangeError: if it breaks off before.
     """
     while not answer.complete and len(answer.body) < GATHER_BYTES:
         if answer.error is not None:
             raise answer.error
+        heard()
         await answer.changed()
 
 
--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -201,7 +201,7 @@
                     lambda a: self.dialect.answers_request(a, call.request_id),
                     without_body=call.request.method == b"HEAD",
                 )
-                await _delivery.gather(answer)
+                await _delivery.gather(answer, lambda: self._hear(call, answer))
         except (_upstream.ExchangeError, TimeoutError) as error:
             connection.abort()
             self._observe_failure(server)
@@ -221,6 +221,12 @@
             )
         return self._read_answer(call, place, answer, now)
 
+    def _hear(self, call, answer):
+        """Note that an answer that can go to the caller is arriving."""
+        good = answer.status < 500 and not self.dialect.is_not_run(answer)
+        if good and self.dialect.is_authentic(answer):
+            call.heard_at = self.now()
+
     def _read_answer(self, call, place, answer, started):
         now = self.now()
         server = place.server
