The time to the hedge begins with the first send

What callers would see: slower uploads on a busy link, and servers that do the work of an upload twice. An idempotent request whose body took longer to arrive than the hedge delay went to two backend servers at the moment it was whole.

Cause: Carrier._hedge_time counted the delay from the request's first byte. It bounds the wait for a backend server, but grew with the bytes of the caller's body.

Before, test_slow_upload_is_not_hedged_the_moment_it_is_whole: 60,000 bytes arrive in 0.6 s; 2 runs instead of 1. test_slow_upload_is_hedged_when_its_server_is_silent, which asks that such an upload is still hedged, failed as well: two servers already had it when one went silent.

Now the delay begins with the first send, as do the answer times from which it is learned. While the first send still looks for a place no second search is begun beside it.

--- a/boragegw/gateway/_call.py
+++ b/boragegw/gateway/_call.py
@@ -35,7 +35,8 @@
     :param sends: times it was sent.
     :param records: a :class:`SendRecord` of each send.
     :param may_have_run: a send ended without proof that it did not run.
-    :param heard_at: monotonic seconds at which bytes of a good answer came last.
+    :param quiet_since: monotonic seconds of the first send, or at which bytes of a good
+        answer came last; ``None`` before the first send.
     """
 
     request: object
@@ -48,7 +49,7 @@
     sends: int = 0
     records: list = dataclasses.field(default_factory=list)
     may_have_run: bool = False
-    heard_at: float = 0.0
+    quiet_since: float | None = None
     spare_answer: object = None
     reason: str = ""
 
--- a/boragegw/gateway/_carrier.py
+++ b/boragegw/gateway/_carrier.py
@@ -221,11 +221,16 @@
             outcome.connection.abort()
 
     def _hedge_time(self, call):
-        """Return when to hedge if nothing more of an answer arrives until then."""
+        """Return when to hedge if nothing more of an answer arrives until then.
+
+        The first send begins the wait: what the caller takes to send its request says
+        nothing about a backend server.
+        """
         if not call.idempotent or call.route.max_attempts < 2:
             return math.inf
         delay = call.state.hedging.delay(call.route.target_latency)
-        return max(call.request.arrived, call.heard_at) + delay
+        since = self.now() if call.quiet_since is None else call.quiet_since
+        return since + delay
 
     def _note_extra(self, kind, call, now):
         """Count and log a second send and what the budget has left for more."""
--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -84,6 +84,7 @@
         call.records.append(_record(call, place, now))
         self.board.counters["attempts.sent"] += 1
         if call.sends == 1:
+            call.quiet_since = now
             waited = now - call.request.arrived
             self.board.histograms["placing_seconds"].observe(waited)
         server.own_in_flight += 1
@@ -225,7 +226,7 @@
         """Note that an answer that can go to the caller is arriving."""
         good = answer.status < 500 and not self.dialect.is_not_run(answer)
         if good and self.dialect.is_authentic(answer):
-            call.heard_at = self.now()
+            call.quiet_since = self.now()
 
     def _read_answer(self, call, place, answer, started):
         now = self.now()
--- a/boragegw/platform/tests/test_time_limits.py
+++ b/boragegw/platform/tests/test_time_limits.py
@@ -2,13 +2,32 @@
 
 import asyncio
 
-from boragegw import standins
+from boragegw import gateway, standins
 
 in_memory = standins.in_memory
+FRONT = ("gw-0", 8548)
 #: Bytes of an answer that is not passed on before it is whole.
 LARGE = 90_000
 
 
+async def upload(installation, body, seconds, deadline_ms):
+    """Send a request whose body takes ``seconds``; return the answer's status."""
+    client = gateway.Connection(installation.loop.time)
+    await installation.loop.create_connection(lambda: client, *FRONT)
+    headers = {"x-request-id": "slow", "x-deadline-ms": str(deadline_ms)}
+    whole = standins.request_bytes("/up", "POST", body, headers)
+    start = len(whole) - len(body)
+    waiting = client.start(whole[:start], lambda _: True)
+    step = len(body) // 10
+    for place in range(start, len(whole), step):
+        await asyncio.sleep(seconds / 10)
+        client._transport.write(whole[place : place + step])
+    try:
+        return (await waiting).status
+    except gateway.ExchangeError:
+        return 0
+
+
 async def downloads(mbps):
     """Start an installation whose backend servers send large answers slowly."""
     installation = await standins.WireWorld().start(kind="download", timeout_s=2.0)
@@ -43,6 +62,25 @@
     assert (await installation.call("/p", "POST", b"1")).status == 200
 
 
+@in_memory
+async def test_slow_upload_is_not_hedged_the_moment_it_is_whole():
+    """A body that took 0.6 s to arrive went to two backend servers at once."""
+    installation = await standins.WireWorld().start()
+    assert await upload(installation, b"x" * 60_000, 0.6, 10_000) == 200
+    assert len(installation.runs("/up")) == 1
+
+
+@in_memory
+async def test_slow_upload_is_hedged_when_its_server_is_silent():
+    installation = await standins.WireWorld().start()
+    sending = asyncio.create_task(upload(installation, b"x" * 60_000, 0.6, 10_000))
+    await asyncio.sleep(0.62)
+    (silent,) = [b for b in installation.backends.values() if b.runs]
+    silent.faults.silent = True
+    assert await sending == 200
+    assert len(installation.runs("/up")) == 2
+
+
 @in_memory
 async def test_answer_that_is_arriving_is_not_asked_for_twice():
     """An answer that takes 0.36 s was hedged after 0.22 s, while it was arriving."""
