The rest of a refused upload is read while it still comes

What callers would see: a broken connection instead of a refusal. A caller whose upload is refused and that still sends for longer than 0.5 s, before it reads, was reset and never learned that its request had not run.

Cause: LINGER bounded the reading on from the refusal, while what remains to be read grows with the upload and shrinks with the rate of the caller's link.

Before, test_refused_upload_is_read_while_it_still_comes: an upload that goes on for 1.5 s was closed 0.5 s after its refusal. test_refused_upload_without_end_is_closed: closed after 0.56 s (the first look after the close) instead of 15 s.

Now LINGER is a silence: bytes that arrive begin it anew, and idle_timeout after the refusal the connection ends in any case. The price: a refused caller may send for up to idle_timeout (15 s) where it was cut off after 0.5 s. Its bytes are dropped and hold no memory, but use the link.

--- a/boragegw/gateway/_front.py
+++ b/boragegw/gateway/_front.py
@@ -13,8 +13,8 @@
 #: Bytes of request bodies that this process holds for all callers together; with the
 #: answers in flight this stays well below the 200 MB of the smallest machines.
 BODY_MEMORY = 48 << 20
-#: Seconds for which the rest of a request is read and dropped after it was refused;
-#: closing at once would reset the connection before the caller has read the refusal.
+#: Seconds of silence until which the rest of a refused request is read and dropped;
+#: closing earlier would reset the connection before the caller has read the refusal.
 LINGER = 0.5
 
 
@@ -80,6 +80,7 @@
         self._timer = None
         self._closing = False
         self._deaf = False
+        self._linger_end = None
         self._left = None
         self._can_write = None
         self._reading_paused = False
@@ -96,6 +97,9 @@
 
     def data_received(self, data):
         """Parse what has arrived."""
+        if self._linger_end is not None:
+            self._linger()
+            return
         if self._closing or self._deaf:
             return
         if not self._head_done:
@@ -264,7 +268,8 @@
 
         Guards against a refusal that is lost: the caller may still be sending, and
         closing with unread bytes resets the connection before it has read the
-        refusal. What still comes is read and dropped for a moment.
+        refusal. What still comes is read and dropped until the caller is silent, but
+        not for longer than a silent one may keep its connection.
         """
         if self._closing:
             return
@@ -273,7 +278,12 @@
             self._transport.close()
             return
         self._transport.write_eof()
-        self._arm(LINGER, self._transport.close)
+        self._linger_end = self.gateway.now() + self.gateway.limits.idle_timeout
+        self._linger()
+
+    def _linger(self):
+        left = self._linger_end - self.gateway.now()
+        self._arm(max(0.0, min(LINGER, left)), self._transport.close)
 
     def abort(self):
         """Break off, so that a half answer cannot look complete."""
--- a/boragegw/gateway/tests/test_front.py
+++ b/boragegw/gateway/tests/test_front.py
@@ -173,6 +173,40 @@
     assert transport.closed
 
 
+async def refuse_upload(seconds, pause, **limits):
+    """Refuse an upload that goes on for ``seconds``; return its transport."""
+    process = Process(body_bytes=100, **limits)
+    connection, transport = connect(process)
+    connection.data_received(HEAD + b"content-length: 1000000\r\n\r\n")
+    for _ in range(round(seconds / pause)):
+        await asyncio.sleep(pause)
+        if transport.closed:
+            break
+        connection.data_received(b"z" * 60_000)
+    return transport
+
+
+@standins.in_memory
+async def test_refused_upload_is_read_while_it_still_comes():
+    """One that went on for 1.5 s was reset 0.5 s after its refusal was written."""
+    transport = await refuse_upload(1.5, 0.1)
+    assert not transport.closed
+    assert statuses(transport) == [413]
+    await asyncio.sleep(0.4)
+    assert not transport.closed
+    await asyncio.sleep(0.2)
+    assert transport.closed
+
+
+@standins.in_memory
+async def test_refused_upload_without_end_is_closed():
+    started = asyncio.get_running_loop().time()
+    transport = await refuse_upload(60.0, 0.07, idle_timeout=15.0)
+    assert transport.closed
+    seconds = asyncio.get_running_loop().time() - started
+    assert 15.0 <= seconds < 15.2
+
+
 @pytest.mark.parametrize(
     ("sent", "seconds", "status"),
     [
