Bytes of answers given up are counted where they are given up

An answer that arrives is never left, so source-left could name bytes no more; those that stall in the middle and fail were not counted.

--- a/boragegw/gateway/_fetch.py
+++ b/boragegw/gateway/_fetch.py
@@ -65,16 +65,22 @@
                 answer = await connection.start(request, lambda answer: True)
                 body = await self._whole_body(answer, limit)
         except (_upstream.ExchangeError, TimeoutError) as error:
-            self._pool.discard(connection)
-            raise _knowledge.SourceError(str(error) or "no answer in time") from error
+            self._give_up(connection)
+            raise _knowledge.SourceError(
+                str(error) or "no answer in time", self.progress.received
+            ) from error
         except asyncio.CancelledError:
-            self._pool.discard(connection)
+            self._give_up(connection)
             raise
         finally:
             self.progress.end()
         self._pool.release(connection)
         return Fetched(answer.status, answer.headers, body)
 
+    def _give_up(self, connection):
+        self._pool.discard(connection)
+        self.counters["sources.bytes_dropped"] += self.progress.received
+
     async def _whole_body(self, answer, limit):
         body = bytearray()
         while True:
--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -25,6 +25,8 @@
 #: the second figure.
 LAG_LIMIT = 0.3
 LONGEST_LAG_LIMIT = 2.4
+#: Seconds for which a process that did not answer is not followed.
+AVOIDED = 2.0
 #: Seconds after a change before the next watch, so that several changes in quick
 #: succession cost one call.
 SETTLE = 0.4
@@ -275,11 +277,13 @@
         """
         self._failures += 1
         self.membership.board.behind = True
+        told = {"reason": str(error), "received": error.received}
         if name is None:
             self._must_reread = True
+            self.log.event("store-read-failed", **told)
         else:
-            self._avoided[name] = self.now() + 2.0
-            self.log.event("peer-source-failed", peer=name, reason=str(error))
+            self._avoided[name] = self.now() + AVOIDED
+            self.log.event("peer-source-failed", peer=name, **told)
         if name is not None or self._failures < FAILURES_TO_LOSE:
             # Watches are cut now and then; one failure says nothing of the store.
             await asyncio.sleep(FIRST_RETRY * (0.5 + 0.5 * self.random_state.random()))
@@ -347,21 +351,18 @@
 
     def _leave_source(self, reason):
         name = self._following
-        received = self._reading_from.progress.received
         self.log.event(
             "source-left",
             source=name or "store",
             reason=reason,
-            received=received,
+            received=self._reading_from.progress.received,
             after=round(self.now() - self._watching_since, 3),
         )
-        counters = self.membership.board.counters
-        counters["sources.left"] += 1
-        counters["sources.bytes_dropped"] += received
+        self.membership.board.counters["sources.left"] += 1
         if name is None:
             self.store.close()
         else:
-            self._avoided[name] = self.now() + 2.0
+            self._avoided[name] = self.now() + AVOIDED
         self._wake.set()
 
     def _still_good(self, name):
--- a/boragegw/gateway/_knowledge.py
+++ b/boragegw/gateway/_knowledge.py
@@ -51,7 +51,14 @@
 
 
 class SourceError(Exception):
-    """A source could not be read."""
+    """A source could not be read.
+
+    :param received: bytes of the answer that had arrived.
+    """
+
+    def __init__(self, reason, received=0):
+        super().__init__(reason)
+        self.received = received
 
 
 class HistoryLostError(SourceError):
--- a/boragegw/operations/_rollout.py
+++ b/boragegw/operations/_rollout.py
@@ -26,6 +26,8 @@
 CLOCK_LIVES = 3
 #: Shares of the processes that adopted a version whose delays are told.
 SHARES = (0.5, 0.9, 1.0)
+#: Events that tell that an answer of a source was given up.
+LEFT_EVENTS = frozenset(("source-left", "peer-source-failed", "store-read-failed"))
 #: Events about a request that name the configuration it was served by.
 REQUEST_EVENTS = frozenset(("answered", "answered-late", "request-failed"))
 
@@ -170,7 +172,7 @@
         life.started = moment
     elif line.event == "configuration" and version is not None:
         life.adoptions.append((moment, version, line.fields))
-    elif line.event == "source-left":
+    elif line.event in LEFT_EVENTS:
         reason = str(line.fields.get("reason", "?"))
         life.leaves.append((moment, reason, _whole(line.fields.get("received"))))
     elif line.event in REQUEST_EVENTS and version is not None:
