What lies beyond a source's position is told once all before it is known

Answers kept by position stayed after a reading that showed missed changes at the same position, and a follower at exactly that position never learned of them.

Now a process states and tells only what lies up to its position; prepared answers are kept for one state of the catalogue; a reading that shows missed changes has a number, and a follower that was told under another one reads all anew; of each key in a reading only the latest is adopted.

--- a/boragegw/gateway/_catalogue.py
+++ b/boragegw/gateway/_catalogue.py
@@ -18,6 +18,8 @@
     :param on_addresses_gone: called with addresses that are no longer listed.
     :param on_joined: called with each :class:`~boragegw.balancing.Server` that is
         listed after the first reading.
+    :ivar misses: full readings that showed changes which no watch had told.
+    :ivar generation: grows with each reading that is adopted.
     """
 
     def __init__(self, board, decoder, *, now, log, on_addresses_gone, on_joined):
@@ -29,6 +31,8 @@
         self.on_joined = on_joined
         self.on_change = None
         self.trouble_at = float("-inf")
+        self.misses = 0
+        self.generation = 0
         self._records = {}
         self._deleted = {}
         self._previous = {}
@@ -45,8 +49,10 @@
 
     @property
     def revision(self):
-        """Greatest revision of a record that is known."""
-        return self._revision
+        """Greatest revision up to the position at which a record is known to change."""
+        if self._revision <= self._position:
+            return self._revision
+        return max((r.revision for r in self._changed_after(0)), default=0)
 
     # What other processes read.
 
@@ -54,18 +60,28 @@
         """Return a :class:`Reading` of all records."""
         return _knowledge.Reading(list(self._records.values()), self._position)
 
-    def changes(self, after):
+    def changes(self, after, misses=None):
         """Return a :class:`Reading` of the changes after ``after``.
 
+        :param misses: value of :attr:`misses` when the follower was last told; it has
+            been told all that this process knows if it is the same.
         :raises HistoryLostError: if they are no longer known.
         """
-        if after < self._history_from:
+        lost = after < self._history_from
+        if lost or (after == self._history_from and misses not in (None, self.misses)):
             raise _knowledge.HistoryLostError(f"changes after {after} are not kept")
-        known = itertools.chain(self._records.values(), self._deleted.values())
-        records = [record for record in known if record.revision > after]
-        records.sort(key=lambda record: record.revision)
+        records = sorted(self._changed_after(after), key=lambda r: r.revision)
         return _knowledge.Reading(records, self._position)
 
+    def _changed_after(self, after):
+        """Yield what has changed after ``after``, up to the position.
+
+        A full reading in pages also shows later changes. They are told once all others
+        before them are known: who knows the later one would never ask for those.
+        """
+        known = itertools.chain(self._records.values(), self._deleted.values())
+        return (r for r in known if after < r.revision <= self._position)
+
     def record(self, key):
         """Return the :class:`Record` of ``key``, or ``None``."""
         return self._records.get(key)
@@ -95,12 +111,14 @@
         changed, deleted = self._differences(reading)
         if self._missed(changed, deleted, reading.position):
             self._history_from = reading.position
+            self.misses += 1
             self.log.event("changes-missed", position=reading.position)
         for record in itertools.chain(deleted, changed):
             self._apply(record)
         if self._position < 0:
             self._history_from = reading.position
         self._position = reading.position
+        self.generation += 1
         self._finish()
         return True
 
@@ -130,8 +148,13 @@
         return any(record.revision <= self._position for record in changed)
 
     def adopt_changes(self, reading):
-        """Apply the changes of a watch that are newer than what is known."""
-        for record in sorted(reading.records, key=lambda r: r.revision):
+        """Apply the changes of a watch that are newer than what is known.
+
+        Of each key only the latest: followers would be told the difference to one in
+        between, which none of them knows.
+        """
+        latest = {r.key: r for r in sorted(reading.records, key=lambda r: r.revision)}
+        for record in latest.values():
             known = self._records.get(record.key)
             if known is not None and known.revision >= record.revision:
                 continue
@@ -139,6 +162,7 @@
                 continue
             self._apply(record)
         self._position = max(self._position, reading.position)
+        self.generation += 1
         if reading.records:
             self._finish()
 
--- a/boragegw/gateway/_replication.py
+++ b/boragegw/gateway/_replication.py
@@ -1,7 +1,8 @@
 """How processes pass on what the platform publishes: few bytes, prepared once for all.
 
 ``GET /v1/replica/records`` returns all records, ``GET /v1/replica/changes`` with
-``after`` and ``wait_ms`` those that have changed since, as soon as there are any. The
+``after``, ``misses`` and ``wait_ms`` those that have changed since, as soon as there
+are any. The
 body is a :class:`Replica` in MessagePack; a large one is compressed, and a large record
 that changes goes as the difference to its last value.
 """
@@ -38,10 +39,14 @@
 
 
 class Replica(msgspec.Struct, array_like=True):
-    """The body of an answer; ``position`` as in :class:`~boragegw.gateway.Reading`."""
+    """The body of an answer; ``position`` as in :class:`~boragegw.gateway.Reading`.
+
+    :param misses: see :meth:`~boragegw.gateway.Catalogue.changes`.
+    """
 
     changes: list[Change]
     position: int
+    misses: int = 0
 
 
 class ReplicaServer:
@@ -58,7 +63,7 @@
         self.now = now
         self._encode = msgspec.msgpack.Encoder().encode
         self._prepared = {}
-        self._prepared_at = None
+        self._prepared_for = None
 
     async def answer(self, request):
         """Answer one request with a :class:`~boragegw.gateway.Reply`."""
@@ -76,10 +81,11 @@
 
     async def _changes(self, query):
         after = int(query.get("after", "0"))
+        misses = int(query.get("misses", "0"))
         end = self.now() + int(query.get("wait_ms", "0")) / 1000.0
         while True:
             try:
-                reply = self._prepare(after)
+                reply = self._prepare(after, misses)
             except _knowledge.HistoryLostError:
                 return _endpoint.Reply(HISTORY_LOST)
             left = end - self.now()
@@ -87,25 +93,27 @@
                 return reply
             await self.catalogue.wait_for_change(left)
 
-    def _prepare(self, after):
+    def _prepare(self, after, misses=None):
         """Return the reply with what has changed after ``after``, or with all."""
-        position = self.catalogue.position
-        if position != self._prepared_at or len(self._prepared) >= PREPARED:
+        if self.catalogue.generation != self._prepared_for:
             self._prepared.clear()
-            self._prepared_at = position
-        if after not in self._prepared:
-            self._prepared[after] = self._make(after)
-        return self._prepared[after]
-
-    def _make(self, after):
+            self._prepared_for = self.catalogue.generation
+        asked = after, misses
+        if asked not in self._prepared:
+            if len(self._prepared) >= PREPARED:
+                self._prepared.clear()
+            self._prepared[asked] = self._make(after, misses)
+        return self._prepared[asked]
+
+    def _make(self, after, misses):
         if after is None:
             reading = self.catalogue.snapshot()
             changes = [Change(r.key, r.revision, r.value) for r in reading.records]
         else:
-            reading = self.catalogue.changes(after)
+            reading = self.catalogue.changes(after, misses)
             changes = [self._change(record, after) for record in reading.records]
         position = reading.position if after is None else max(after, reading.position)
-        body = self._encode(Replica(changes, position))
+        body = self._encode(Replica(changes, position, self.catalogue.misses))
         content_type = b"application/msgpack"
         if len(body) < _compression.LARGE:
             return _endpoint.Reply(200, body, content_type)
@@ -135,6 +143,7 @@
         self.now = now
         self.counters = counters
         self._fetcher = _fetch.Fetcher(address, now, counters, "store.peer_reads")
+        self._misses = 0
         self._decode = msgspec.msgpack.Decoder(Replica).decode
 
     @property
@@ -149,6 +158,7 @@
     async def watch(self, after, wait):
         """Return the changes after the position ``after``."""
         path = f"{CHANGES}?after={after}&wait_ms={int(wait * 1000)}"
+        path += f"&misses={self._misses}"
         return await self._read(path, wait + ANSWER_TIMEOUT)
 
     def close(self):
@@ -166,6 +176,7 @@
             records = [self._record(change) for change in replica.changes]
         except (msgspec.DecodeError, _compression.CompressionError) as error:
             raise _knowledge.SourceError(f"unreadable answer: {error}") from error
+        self._misses = replica.misses
         return _knowledge.Reading(records, replica.position)
 
     def _record(self, change):
