One failed page of a full reading does not cost the others

A reading of 13 pages of which every tenth call failed never ended: 1,380 calls in 60 s and no process ready, since each failure threw away the pages that had come.

Now a page after the first is asked for up to three times; lines store-page-failed tell it. Test: test_reading_in_pages_survives_a_store_that_fails_now_and_then, failed before.

--- a/boragegw/platform/_process.py
+++ b/boragegw/platform/_process.py
@@ -26,7 +26,7 @@
         settings.gateway,
         _dialect.PlatformDialect(),
         _documents.DocumentDecoder(log),
-        _store.StoreClient(settings.store, now, board.counters),
+        _store.StoreClient(settings.store, now, board.counters, log),
         board=board,
         log=log,
         now=now,
--- a/boragegw/platform/_store.py
+++ b/boragegw/platform/_store.py
@@ -10,6 +10,8 @@
 #: Seconds until an answer begins, besides the time that a watch waits; the store
 #: answers in 4 ms, up to a hundred times slower on bad days.
 ANSWER_TIMEOUT = 1.0
+#: Times that a page is asked for after the first one has come.
+PAGE_TRIES = 3
 HISTORY_LOST = 410
 
 
@@ -43,12 +45,14 @@
     :param address: ``(host, port)``.
     :param now: function that returns monotonic seconds.
     :param counters: the board's counters.
+    :param log: an :class:`~boragegw.gateway.EventLog`.
     """
 
-    def __init__(self, address, now, counters):
+    def __init__(self, address, now, counters, log):
         self.address = address
         self.now = now
         self.counters = counters
+        self.log = log
         self._fetcher = gateway.Fetcher(address, now, counters, "store.calls")
         self._pages = msgspec.json.Decoder(WirePage)
         self._events = msgspec.json.Decoder(WireEvents)
@@ -71,13 +75,22 @@
             path = "/v1/kv-range?prefix=" + (
                 f"&after={_quoted(after)}" if after else ""
             )
-            page = await self._get(path, self._pages, ANSWER_TIMEOUT)
+            page = await self._page(path, PAGE_TRIES if records else 1)
             position = page.as_of if position is None else position
             records += [_record(item) for item in page.items]
             if not page.has_more or not page.items:
                 return gateway.Reading(records, position)
             after = page.items[-1].key
 
+    async def _page(self, path, tries):
+        """Return one page; a failure in the middle does not cost those before it."""
+        for _ in range(tries - 1):
+            try:
+                return await self._get(path, self._pages, ANSWER_TIMEOUT)
+            except gateway.SourceError as error:
+                self.log.event("store-page-failed", reason=str(error))
+        return await self._get(path, self._pages, ANSWER_TIMEOUT)
+
     async def watch(self, after, wait):
         """Return the changes after the position ``after``."""
         path = f"/v1/kv-watch?prefix=&after={after}&wait_ms={int(wait * 1000)}"
