A request that waits for the first reading is answered within its deadline

The margin for delivery counts here as it does elsewhere. Test: test_request_that_waits_for_the_first_reading_is_answered_in_time, failed before.

--- a/boragegw/gateway/_carrier.py
+++ b/boragegw/gateway/_carrier.py
@@ -93,12 +93,14 @@
     async def _wait_for_configuration(self, request):
         """Wait for the first configuration while it is sure to come soon."""
         patience = self.dialect.patience(request.headers)
-        end = request.arrived + (FIRST_LEARNING if patience is None else patience)
-        while self.board.configuration is None and self.now() < end:
+        if patience is None:
+            patience = FIRST_LEARNING
+        end = request.arrived + patience - DEADLINE_MARGIN
+        while self.board.configuration is None and (left := end - self.now()) > 0:
             if self.now() >= self._learning_until and not self.board.learning:
                 return
             with contextlib.suppress(TimeoutError):  # looked at anew
-                async with asyncio.timeout(LEARNING_STEP):
+                async with asyncio.timeout(min(LEARNING_STEP, left)):
                     await self.board.configured.wait()
 
     def _admit(self, request, writer):
