A second source is asked beside one that is slow; sources are judged one by one

What callers saw: nothing yet; found by the review of the fix. A source that trickles (a link of 0.02 Mbit/s) held its followers for ever: 2 of 2 without the configuration after 20 s, one step from the store. After one failure a process counted as behind for up to 22 s; where the one that watches the store vanished from a fleet of 30, all others watched it themselves for as long; one failure of a peer and one of the store counted as a lost store; between two pages of a first reading requests were refused; followers left a source that was itself still receiving; a fleet of two versions asked the store 166 times in 30 s.

Now: Patience (a decision of its own, without a network) says when a source is silent, twice as long for each that is left and without a bound, and when it is slow: over 1 s left after 0.5 s, by the stated size. Then a second source is asked beside, and the first whole answer counts. A process is behind only while another one is known to be ahead; its next watch after a failure is short; failures of the store are counted apart; the one that should watch the store for others says so while it does; processes follow only those that state the same format; full readings that do not help are paused.

Not taken over from the review: a store restored from an old copy leaves a process behind for ever (the store loses nothing that it has acknowledged, by its contract); on links of 5 Mbit/s only, a few sources are left while they are receiving, without a byte lost.

--- a/boragegw/gateway/_board.py
+++ b/boragegw/gateway/_board.py
@@ -19,8 +19,7 @@
     :param by_service: lists of the same servers. Writer: the catalogue.
     :param evacuated: data centres that are taken out. Writer: the catalogue.
     :param learning: the first reading is arriving. Writer: the follower.
-    :param behind: this process knows less than another one, or no source answers it.
-        Writer: the follower.
+    :param behind: this process knows less than another one. Writer: the follower.
     :param processes: gateway processes that may be alive, this one included.
         Writer: membership.
     :param stopping: a planned stop has begun. Writer: the process.
--- a/boragegw/gateway/_fetch.py
+++ b/boragegw/gateway/_fetch.py
@@ -83,6 +83,7 @@
 
     async def _whole_body(self, answer, limit):
         body = bytearray()
+        self.progress.begin(_stated_size(answer), self.now())
         while True:
             limit.reschedule(asyncio.get_running_loop().time() + STALL)
             chunk = answer.take()
@@ -101,3 +102,8 @@
     def close(self):
         """Close the idle connections."""
         self._pool.close()
+
+
+def _stated_size(answer):
+    size = answer.header(b"content-length") or b""
+    return int(size) if size.isdigit() else 0
--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -4,7 +4,13 @@
 import math
 
 from boragegw import utils
-from boragegw.gateway import _fanout, _knowledge, _peer_messages
+from boragegw.gateway import (
+    _fanout,
+    _knowledge,
+    _patience,
+    _peer_messages,
+    _question,
+)
 
 #: Seconds that a watch waits for a change: at first, and at most after it has doubled
 #: with each one that ended well. Calls to the store are scarce, and a silent connection
@@ -20,11 +26,9 @@
 #: seconds before the second try.
 FAILURES_TO_LOSE = 2
 FIRST_RETRY = 0.05
-#: Seconds for which this process may know less than another one, while nothing
-#: arrives, before it asks another source; twice as long after each that was left, up to
-#: the second figure.
-LAG_LIMIT = 0.3
-LONGEST_LAG_LIMIT = 2.4
+#: Longest pause in seconds between full readings after each of which the source says
+#: that it does not know the changes since.
+LONGEST_RETRY = 1.0
 #: Seconds for which a process that did not answer is not followed.
 AVOIDED = 2.0
 #: Seconds after a change before the next watch, so that several changes in quick
@@ -73,14 +77,17 @@
         self.random_state = random_state
         self.log = log
         self.first_start = first_start
-        self._wake = asyncio.Event()
+        self._question = None
         self._following = None
         self._reading_from = store
         self._peer = None
         self._failures = 0
-        self._watching_since = math.inf
-        self._behind_since = math.inf
-        self._lag_limit = LAG_LIMIT
+        self._store_failures = 0
+        self._histories_lost = 0
+        self._patience = _patience.Patience()
+        self._asked_at = math.inf
+        self._is_rereading = False
+        self._bytes_before = 0
         self._wait = FIRST_WATCH_WAIT
         self._must_reread = True
         self._avoided = {}
@@ -98,6 +105,7 @@
                     "history-lost", source=name or "store", detail=str(error)
                 )
                 self._must_reread = True
+                await self._pause_if_lost_again()
             except _knowledge.SourceError as error:
                 await self._failed(name, error)
 
@@ -135,12 +143,21 @@
 
     def _watchers(self):
         """Return the names of the processes that should watch the store."""
-        members = [m for m in self.membership.alive() if m.reads_store]
+        members = [m for m in self._readable() if m.reads_store]
         return self._first_of_each(members)
 
     def _probers(self):
         """Return the names of those that try the store while nobody can read it."""
-        return self._first_of_each(self.membership.alive())
+        return self._first_of_each(self._readable())
+
+    def _readable(self):
+        """Return the other processes that pass on what they know in our format.
+
+        Guards against a fleet of two versions, as while one is rolled out: those of
+        one would ask those of the other in vain, and then the store.
+        """
+        own = self.membership.own.replica_format
+        return [m for m in self.membership.alive() if m.replica_format == own]
 
     def _first_of_each(self, members):
         staying = [m for m in members if m.life != _peer_messages.Life.LEAVING]
@@ -172,7 +189,7 @@
         now = self.now()
         return [
             member
-            for member in self.membership.alive()
+            for member in self._readable()
             if member.revision
             and member.life != _peer_messages.Life.LEAVING
             and self._avoided.get(member.name, -math.inf) <= now
@@ -214,51 +231,69 @@
 
     async def _read(self, name):
         source = self._source(name)
-        if self._must_reread:
-            await self._reread(name)
         self._following = name
         self._reading_from = source
-        self._watching_since = self.now()
-        self._wake.clear()
-        watch = asyncio.ensure_future(source.watch(self.catalogue.position, self._wait))
-        wake = asyncio.ensure_future(self._wake.wait())
+        self._asked_at = self.now()
         try:
-            await asyncio.wait((watch, wake), return_when=asyncio.FIRST_COMPLETED)
-            if watch.done():
-                self._take(name, watch.result())
+            if self._must_reread:
+                await self._reread(name, source)
+            else:
+                await self._watch(name, source)
         finally:
+            self._question = None
             self._following = None
-            self._watching_since = math.inf
-            for task in (watch, wake):
-                task.cancel()
-            await asyncio.gather(watch, wake, return_exceptions=True)
-        if name is None and not self._wake.is_set():
-            await asyncio.sleep(SETTLE)
+            self._asked_at = math.inf
 
-    def _take(self, name, reading):
+    async def _watch(self, name, source):
+        position, wait = self.catalogue.position, self._wait
+        self._patience.ask(self._asked_at)
+        try:
+            answer = await self._ask(name, source, lambda s: s.watch(position, wait))
+        finally:
+            self._patience.stop()
+        if answer is None:
+            return
+        name, reading = answer
         self._succeeded(name)
         self._wait = min(2 * self._wait, LONGEST_WATCH_WAIT)
+        self._histories_lost = 0
         self.catalogue.adopt_changes(reading)
         self._note_revision()
+        if name is None:
+            await asyncio.sleep(SETTLE)
 
-    async def _reread(self, name):
-        self._reading_from = self._source(name)
-        reading = await self._reading_from.read_all()
+    async def _reread(self, name, source):
+        self._is_rereading = True
+        self._bytes_before = self._bytes()
+        try:
+            answer = await self._ask(name, source, lambda s: s.read_all())
+        finally:
+            self._is_rereading = False
+            self.membership.board.learning = False
+        if answer is None:
+            return
+        name, reading = answer
         self._succeeded(name)
         self._must_reread = False
         self._wait = FIRST_WATCH_WAIT
         self.catalogue.adopt_snapshot(reading)
         self._note_revision()
 
+    async def _ask(self, name, source, ask):
+        self._question = _question.Question(ask)
+        self._question.put_to(name, source)
+        return await self._question.answer()
+
     def _note_revision(self):
         self.membership.own.revision = self.catalogue.revision
         self._note_lag(self.now())
 
     def _succeeded(self, name):
         self._failures = 0
-        self._lag_limit = LAG_LIMIT
+        self._patience.succeed()
         if name is not None:
             return
+        self._store_failures = 0
         own = self.membership.own
         if not own.reads_store:
             own.reads_store = True
@@ -267,6 +302,17 @@
             self.log.event("store-regained", position=self.catalogue.position)
             self.membership.announce()
 
+    async def _pause_if_lost_again(self):
+        """Wait, longer each time, where full readings do not help.
+
+        Guards against a source that knows no position that it states itself: it would
+        be read without a pause.
+        """
+        pause = min(FIRST_RETRY * 2**self._histories_lost, LONGEST_RETRY)
+        if self._histories_lost:
+            await asyncio.sleep(pause)
+        self._histories_lost += 1
+
     async def _failed(self, name, error):
         """Note a failed read.
 
@@ -276,15 +322,17 @@
         does not.
         """
         self._failures += 1
-        self.membership.board.behind = True
+        # The next watch is short: whether its source answers is known soon.
+        self._wait = FIRST_WATCH_WAIT
         told = {"reason": str(error), "received": error.received}
         if name is None:
             self._must_reread = True
+            self._store_failures += 1
             self.log.event("store-read-failed", **told)
         else:
             self._avoided[name] = self.now() + AVOIDED
             self.log.event("peer-source-failed", peer=name, **told)
-        if name is not None or self._failures < FAILURES_TO_LOSE:
+        if name is not None or self._store_failures < FAILURES_TO_LOSE:
             # Watches are cut now and then; one failure says nothing of the store.
             await asyncio.sleep(FIRST_RETRY * (0.5 + 0.5 * self.random_state.random()))
             return
@@ -314,40 +362,70 @@
         a peer was forgotten on the way, or the peer lost power. It shows in another
         process's heartbeat, which names a revision that is not known here.
 
-        An answer that is arriving is never given up for another one: that would begin
-        with its first byte. A source that stalls in the middle fails by itself.
+        An answer that is arriving is never given up for another one, which would begin
+        with its first byte; if it takes too long, another source is asked beside.
         """
         self.catalogue.settle()
         now = self.now()
         if any(not m.reads_store for m in self.membership.alive()):
             self.catalogue.trouble_at = now
         self._note_lag(now)
-        arriving = bool(self._reading_from.progress.received)
-        self.membership.board.learning = arriving and self.catalogue.position < 0
-        if arriving:
-            return
-        if self._waited_behind(now) > self._lag_limit:
-            self._lag_limit = min(2 * self._lag_limit, LONGEST_LAG_LIMIT)
+        progress = self._reading_from.progress
+        if self._is_rereading and self.catalogue.position < 0:
+            self.membership.board.learning = self._bytes() > self._bytes_before
+        self._patience.expect(self._source_knows_more())
+        if progress.received:
+            self._check_rate(progress, now)
+        elif self._patience.is_silent(now):
             self._leave_source("behind the others")
-        elif self._following is not None and not self._still_good(self._following):
+        elif not self._is_rereading:
+            self._check_place()
+
+    def _check_rate(self, progress, now):
+        """Ask a second source if the answer arrives too slowly; drop neither."""
+        if self._question.asked > 1 or not self._patience.is_slow(progress, now):
+            return
+        if self._following is not None:
+            self._avoided[self._following] = now + AVOIDED
+        name = self._peer_to_follow()
+        if name == self._following:
+            return
+        self.log.event(
+            "source-slow",
+            source=self._following or "store",
+            received=progress.received,
+            size=progress.size,
+            second=name or "store",
+        )
+        self._question.put_to(name, self._source(name))
+
+    def _check_place(self):
+        if self._following is not None and not self._still_good(self._following):
             self._leave_source("it no longer watches the store")
         elif self._is_misplaced():
-            self._wake.set()
+            self._turn_away()
+        elif self._following is None and self._asked_at < math.inf:
+            # A watch that this process began for itself may serve the others too.
+            self.membership.own.watches_store = self._should_watch()
 
-    def _note_lag(self, now):
-        self.membership.board.behind = bool(self.lag or self._failures)
-        if not self.lag:
-            self._behind_since = math.inf
-        elif self._behind_since == math.inf:
-            self._behind_since = now
+    def _bytes(self):
+        return self.membership.board.counters["sources.bytes"]
 
-    def _waited_behind(self, now):
-        """Return the seconds for which the present watch should have brought more.
+    def _source_knows_more(self):
+        """Return whether the present source has what this process lacks.
 
-        Counted from its start at the earliest: a limit that runs on while a new watch
-        begins would end that one too, before its answer.
+        A process in between has nothing to pass on until its own answer is whole.
         """
-        return now - max(self._watching_since, self._behind_since)
+        name = self._following
+        if name is None:
+            return True
+        known = (m.revision for m in self.membership.alive() if m.name == name)
+        return next(known, 0) > self.catalogue.position
+
+    def _note_lag(self, now):
+        lag = self.lag
+        self._patience.learn(lag, now)
+        self.membership.board.behind = lag > 0
 
     def _leave_source(self, reason):
         name = self._following
@@ -356,14 +434,18 @@
             source=name or "store",
             reason=reason,
             received=self._reading_from.progress.received,
-            after=round(self.now() - self._watching_since, 3),
+            after=round(self.now() - self._asked_at, 3),
         )
         self.membership.board.counters["sources.left"] += 1
         if name is None:
             self.store.close()
         else:
             self._avoided[name] = self.now() + AVOIDED
-        self._wake.set()
+        self._turn_away()
+
+    def _turn_away(self):
+        if self._question is not None:
+            self._question.drop()
 
     def _still_good(self, name):
         if self.catalogue.position < 0:
--- a/boragegw/gateway/_knowledge.py
+++ b/boragegw/gateway/_knowledge.py
@@ -41,14 +41,29 @@
     """How far the present answer of a source has arrived.
 
     :param received: bytes so far; 0 while none is awaited.
+    :param size: bytes of the whole; 0 if it is not stated.
+    :param began: monotonic seconds at which its first bytes came.
     """
 
     received: int = 0
+    size: int = 0
+    began: float = 0.0
+
+    def begin(self, size, now):
+        """Note the beginning of an answer."""
+        self.received = 0
+        self.size = size
+        self.began = now
 
     def end(self):
         """Note that the answer is whole or was given up."""
         self.received = 0
 
+    def seconds_left(self, now):
+        """Return the seconds until it is whole if it goes on as it did."""
+        missing = max(0, self.size - self.received)
+        return missing * (now - self.began) / self.received
+
 
 class SourceError(Exception):
     """A source could not be read.
--- a/boragegw/gateway/_peer_messages.py
+++ b/boragegw/gateway/_peer_messages.py
@@ -13,6 +13,10 @@
     LEAVING = 2
 
 
+#: Format in which processes of this version pass on what the platform publishes.
+REPLICA_FORMAT = 1
+
+
 class Member(msgspec.Struct, array_like=True, omit_defaults=True):
     """What a process says of itself.
 
@@ -24,6 +28,7 @@
     :param reads_store: whether the store answers it.
     :param watches_store: whether it watches the store itself.
     :param link: megabits a second of its machine's link.
+    :param replica_format: see :data:`REPLICA_FORMAT`; 0 for processes that state none.
     """
 
     name: str
@@ -37,6 +42,7 @@
     reads_store: bool = True
     watches_store: bool = False
     link: float = 1000.0
+    replica_format: int = 0
 
 
 class News(msgspec.Struct, array_like=True):
--- a/boragegw/gateway/_process.py
+++ b/boragegw/gateway/_process.py
@@ -134,6 +134,7 @@
             front=_joined(settings.front),
             peer=_joined(settings.peer),
             link=settings.link,
+            replica_format=_peer_messages.REPLICA_FORMAT,
         )
         self.membership = _membership.Membership(
             self.board, self.own, self._seed_addresses, **drawn
