Followers are told what is known, also where the store's entry is older

What callers saw: nothing yet; found when the changes of a reading were told as one. A backend server's report that was delayed overwrites its newer one, which says that it leaves. A process that watched the store knew better, but since the changes are told from the records it passed on the older entry: those that follow it, or start later, sent new work to the leaving server. And of two versions in one reading followers were told the difference to the one in between, which none has.

Now an entry or configuration that is older than what is known keeps the newer value under its new revision, and the value for differences is the one before the whole reading.

--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -315,7 +315,9 @@
             self._decoding = False
 
     def _store(self):
-        return platform.StoreClient(standins.STORE, self.loop.time, self.board.counters)
+        return platform.StoreClient(
+            standins.STORE, self.loop.time, self.board.counters, NoLog()
+        )
 
     def _peer_source(self, address):
         host, _, port = address.rpartition(":")
--- a/boragegw/gateway/_catalogue.py
+++ b/boragegw/gateway/_catalogue.py
@@ -113,8 +113,10 @@
             self._history_from = reading.position
             self.misses += 1
             self.log.event("changes-missed", position=reading.position)
+        before = {record.key: self._records.get(record.key) for record in changed}
         for record in itertools.chain(deleted, changed):
             self._apply(record)
+        self._keep_previous(before)
         if self._position < 0:
             self._history_from = reading.position
         self._position = reading.position
@@ -148,13 +150,9 @@
         return any(record.revision <= self._position for record in changed)
 
     def adopt_changes(self, reading):
-        """Apply the changes of a watch that are newer than what is known.
-
-        Of each key only the latest: followers would be told the difference to one in
-        between, which none of them knows.
-        """
-        latest = {r.key: r for r in sorted(reading.records, key=lambda r: r.revision)}
-        for record in latest.values():
+        """Apply the changes of a watch that are newer than what is known."""
+        before = {r.key: self._records.get(r.key) for r in reading.records}
+        for record in sorted(reading.records, key=lambda r: r.revision):
             known = self._records.get(record.key)
             if known is not None and known.revision >= record.revision:
                 continue
@@ -163,6 +161,7 @@
             self._apply(record)
         self._position = max(self._position, reading.position)
         self.generation += 1
+        self._keep_previous(before)
         if reading.records:
             self._finish()
 
@@ -170,9 +169,10 @@
         self._revision = max(self._revision, record.revision)
         if record.value is not None:
             self._deleted.pop(record.key, None)
-            self._keep_previous(record)
+            known = self._records.get(record.key)
+            if not self._put(record) and known is not None:
+                record = _knowledge.Record(record.key, known.value, record.revision)
             self._records[record.key] = record
-            self._put(record)
             return
         self._records.pop(record.key, None)
         self._previous.pop(record.key, None)
@@ -182,12 +182,18 @@
         self._forget_deletions()
         self._remove(record.key)
 
-    def _keep_previous(self, record):
-        """Keep the value that is replaced if a difference to it may save much."""
-        self._previous.pop(record.key, None)
-        known = self._records.get(record.key)
-        if known is not None and len(record.value) >= _compression.LARGE:
-            self._previous[record.key] = known
+    def _keep_previous(self, before):
+        """Keep what a reading has replaced if a difference to it may save much.
+
+        :param before: records by key as they were before the whole reading: followers
+            know none of those in between.
+        """
+        for key, known in before.items():
+            self._previous.pop(key, None)
+            record = self._records.get(key)
+            large = record is not None and len(record.value) >= _compression.LARGE
+            if large and known is not None and known is not record:
+                self._previous[key] = known
 
     def _forget_deletions(self):
         while len(self._deleted) > DELETIONS:
@@ -210,17 +216,21 @@
             self.on_change()
 
     def _put(self, record):
+        """Take over what a record means; return whether it is newer than what is known.
+
+        What is older is not passed on either: who reads it later would not know better.
+        """
         started = self.now()
         configuration = self.decoder.configuration(record)
         if configuration is not None:
             seconds = round(self.now() - started, 4)
             self._adopt_configuration(configuration, record, seconds)
-            return
+            return True
         listing = self.decoder.listing(record)
         if listing is not None:
-            self._adopt_listing(record, listing)
-        else:
-            self._remove(record.key)
+            return self._adopt_listing(record, listing)
+        self._remove(record.key)
+        return True
 
     def _adopt_configuration(self, configuration, record, seconds):
         current = self.board.configuration
@@ -258,11 +268,11 @@
                 known.started_ms,
                 known.sequence,
             ):
-                return
+                return False
             restarted = listing.started_ms != known.started_ms
             if listing.address == known.address and not restarted:
                 self._update(server, listing, now)
-                return
+                return True
         server = balancing.Server(listing)
         if listing.cold_for > 0:
             server.cold_until = now + listing.cold_for
@@ -276,6 +286,7 @@
             cold_for=listing.cold_for,
             revision=record.revision,
         )
+        return True
 
     def _update(self, server, listing, now):
         if listing.draining != server.listing.draining:
--- a/boragegw/platform/tests/test_knowledge.py
+++ b/boragegw/platform/tests/test_knowledge.py
@@ -52,6 +52,22 @@
     assert not leaving.runs
 
 
+@in_memory
+async def test_delayed_entry_is_not_passed_on_in_place_of_the_newer_one():
+    """Those that follow the process that watches the store hear of both at once."""
+    installation = await world(gateways=3, kind="unsafe")
+    await asyncio.sleep(3.0)
+    installation.publish([installation.route(kind="unsafe")])
+    await asyncio.sleep(0.1)
+    leaving = installation.backends["i-0"]
+    installation.store.put("servers/i-0", leaving.entry("app", state="draining", seq=9))
+    installation.store.put("servers/i-0", leaving.entry("app", seq=8))
+    await asyncio.sleep(1.0)
+    for number in range(30):
+        await installation.call(f"/{number}", "POST", b"1", to=f"gw-{number % 3}")
+    assert not leaving.runs
+
+
 @in_memory
 async def test_lost_history_is_read_anew():
     installation = await world()
--- a/boragegw/platform/tests/test_rollout.py
+++ b/boragegw/platform/tests/test_rollout.py
@@ -25,6 +25,11 @@
     assert spreads[1].all < CONFIG_APPLY
 
 
+def test_small_changes_one_after_the_other_cost_them_few_bytes(spreads):
+    """A source told the difference to the version in between, which none has."""
+    assert 0 < spreads[2].most_received < CONTROL_BYTES
+
+
 def test_small_change_costs_a_process_that_follows_another_few_bytes(spreads):
     assert 0 < spreads[1].received < CONTROL_BYTES
     assert 0 < spreads[1].most_received < CONTROL_BYTES
