The answers of both sources count; a full own link asks no second one

What callers saw: nothing yet; found by a second review. With a second source asked beside a slow one, the present state was read off the first alone: if that one failed, the second's half answer was thrown away (20 KB in the test) and if the second failed, no third was asked (2 of 2 late after 20 s). Followers whose own links were full all asked the store (30 calls, 5.8 s in place of 3.4 s on 1 Mbit/s with 13,000 routes): a fixed second against size and link once more. A process that lost its history 1,020 times in a row ended itself by an overflow. An older full reading counted as the one that was due. A record told twice lost its difference (154,883 bytes, 14,000 allowed). Callers that had left went on waiting for the first reading.

Now a question knows the progress of all that are asked; a further one is asked every 2 s while one is left, never the same twice, and not while the answer takes over 0.3 of the own link; the pause has a bound by itself; a peer's older reading is a failure of that peer.

Not mended, by the same review: a delayed entry of a server that is doubted at that moment is passed on to processes that start later; a key deleted between two pages counts as a missed change, and a follower that comes back to a source which has missed one reads all anew (bytes only).

--- a/boragegw/gateway/_carrier.py
+++ b/boragegw/gateway/_carrier.py
@@ -97,7 +97,8 @@
             patience = FIRST_LEARNING
         end = request.arrived + patience - DEADLINE_MARGIN
         while self.board.configuration is None and (left := end - self.now()) > 0:
-            if self.now() >= self._learning_until and not self.board.learning:
+            over = self.now() >= self._learning_until and not self.board.learning
+            if over or request.caller_gone:
                 return
             with contextlib.suppress(TimeoutError):  # looked at anew
                 async with asyncio.timeout(min(LEARNING_STEP, left)):
--- a/boragegw/gateway/_catalogue.py
+++ b/boragegw/gateway/_catalogue.py
@@ -189,10 +189,12 @@
             know none of those in between.
         """
         for key, known in before.items():
-            self._previous.pop(key, None)
             record = self._records.get(key)
+            if record is known:
+                continue
+            self._previous.pop(key, None)
             large = record is not None and len(record.value) >= _compression.LARGE
-            if large and known is not None and known is not record:
+            if large and known is not None:
                 self._previous[key] = known
 
     def _forget_deletions(self):
@@ -224,8 +226,7 @@
         configuration = self.decoder.configuration(record)
         if configuration is not None:
             seconds = round(self.now() - started, 4)
-            self._adopt_configuration(configuration, record, seconds)
-            return True
+            return self._adopt_configuration(configuration, record, seconds)
         listing = self.decoder.listing(record)
         if listing is not None:
             return self._adopt_listing(record, listing)
@@ -241,7 +242,7 @@
                     version=configuration.version,
                     in_force=current.version,
                 )
-            return
+            return configuration.version == current.version
         self.board.configuration = configuration
         self.board.configured.set()
         self.log.event(
@@ -252,6 +253,7 @@
             bytes=len(record.value),
             seconds=seconds,
         )
+        return True
 
     def _adopt_listing(self, record, listing):
         """Take a server's entry unless it is older than the one that is known.
--- a/boragegw/gateway/_fetch.py
+++ b/boragegw/gateway/_fetch.py
@@ -10,7 +10,7 @@
 #: Seconds until an attempt to connect is given up: as long as a full link of 5 Mbit/s
 #: holds the opening packet behind 300 KB.
 CONNECT_TIMEOUT = 0.5
-#: Connections to one address: one watch and one read.
+#: Connections to one address: one question, and those that are being given up.
 CONNECTIONS = 4
 #: Seconds without a byte after which an answer that has begun is given up. Its whole
 #: has no limit: that time grows with the answer, the link and the number that ask.
--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -27,6 +27,8 @@
 #: Longest pause in seconds between full readings after each of which the source says
 #: that it does not know the changes since.
 LONGEST_RETRY = 1.0
+#: Seconds between sources that are asked beside a slow one.
+SECOND_INTERVAL = 2.0
 #: Seconds after a change before the next watch, so that several changes in quick
 #: succession cost one call.
 SETTLE = 0.4
@@ -74,14 +76,14 @@
         )
         self._question = None
         self._following = None
-        self._reading_from = store
         self._peer = None
         self._store_failures = 0
-        self._histories_lost = 0
+        self._lost_pause = 0.0
         self._patience = _patience.Patience()
         self._asked_at = math.inf
         self._is_rereading = False
         self._bytes_before = 0
+        self._second_at = -math.inf
         self._wait = FIRST_WATCH_WAIT
         self._must_reread = True
 
@@ -133,7 +135,6 @@
     async def _read(self, name):
         source = self._source(name)
         self._following = name
-        self._reading_from = source
         self._asked_at = self.now()
         try:
             if self._must_reread:
@@ -155,9 +156,10 @@
         if answer is None:
             return
         name, reading = answer
+        self._following = name
         self._succeeded(name)
         self._wait = min(2 * self._wait, LONGEST_WATCH_WAIT)
-        self._histories_lost = 0
+        self._lost_pause = 0.0
         self.catalogue.adopt_changes(reading)
         self._note_revision()
         if name is None:
@@ -174,10 +176,11 @@
         if answer is None:
             return
         name, reading = answer
+        if not self.catalogue.adopt_snapshot(reading) and name is not None:
+            raise _knowledge.SourceError("it knows less than this process")
         self._succeeded(name)
         self._must_reread = False
         self._wait = FIRST_WATCH_WAIT
-        self.catalogue.adopt_snapshot(reading)
         self._note_revision()
 
     async def _ask(self, name, source, ask):
@@ -209,10 +212,8 @@
         Guards against a source that knows no position that it states itself: it would
         be read without a pause.
         """
-        pause = min(FIRST_RETRY * 2**self._histories_lost, LONGEST_RETRY)
-        if self._histories_lost:
-            await asyncio.sleep(pause)
-        self._histories_lost += 1
+        await asyncio.sleep(self._lost_pause)
+        self._lost_pause = min(max(FIRST_RETRY, 2 * self._lost_pause), LONGEST_RETRY)
 
     async def _failed(self, name, error):
         """Note a failed read.
@@ -271,7 +272,7 @@
         if any(not m.reads_store for m in self.membership.alive()):
             self.catalogue.trouble_at = now
         self._note_lag(now)
-        progress = self._reading_from.progress
+        progress = self._progress()
         if self._is_rereading and self.catalogue.position < 0:
             self.membership.board.learning = self._bytes() > self._bytes_before
         self._patience.expect(self._source_knows_more())
@@ -284,12 +285,16 @@
 
     def _check_rate(self, progress, now):
         """Ask a second source if the answer arrives too slowly; drop neither."""
-        if self._question.asked > 1 or not self._patience.is_slow(progress, now):
+        asked = self._question.asked
+        if len(asked) > 1 or now < self._second_at + SECOND_INTERVAL:
+            return
+        if not self._patience.is_slow(progress, self.membership.own.link, now):
             return
+        self._second_at = now
         if self._following is not None:
             self._choice.avoid(self._following)
         name = self._choice.peer()
-        if name == self._following:
+        if name in asked:
             return
         self.log.event(
             "source-slow",
@@ -309,6 +314,11 @@
             # A watch that this process began for itself may serve the others too.
             self.membership.own.watches_store = self._choice.should_watch()
 
+    def _progress(self):
+        if self._question is None:
+            return _knowledge.Progress()
+        return self._question.progress
+
     def _bytes(self):
         return self.membership.board.counters["sources.bytes"]
 
@@ -334,7 +344,7 @@
             "source-left",
             source=name or "store",
             reason=reason,
-            received=self._reading_from.progress.received,
+            received=self._progress().received,
             after=round(self.now() - self._asked_at, 3),
         )
         self.membership.board.counters["sources.left"] += 1
--- a/boragegw/gateway/_knowledge.py
+++ b/boragegw/gateway/_knowledge.py
@@ -9,6 +9,8 @@
 LAPSE_GRACE = 1.9
 #: Seconds after trouble with the store for which disappearances are doubted.
 TROUBLE_MEMORY = 3.0
+#: Seconds over which a rate is taken at least.
+LEAST_SPAN = 0.001
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,10 +61,13 @@
         """Note that the answer is whole or was given up."""
         self.received = 0
 
+    def rate(self, now):
+        """Return the bytes a second so far."""
+        return self.received / max(now - self.began, LEAST_SPAN)
+
     def seconds_left(self, now):
         """Return the seconds until it is whole if it goes on as it did."""
-        missing = max(0, self.size - self.received)
-        return missing * (now - self.began) / self.received
+        return max(0, self.size - self.received) / self.rate(now)
 
 
 class SourceError(Exception):
--- a/boragegw/gateway/_patience.py
+++ b/boragegw/gateway/_patience.py
@@ -10,6 +10,9 @@
 #: then be left until it is whole.
 JUDGED_AFTER = 0.5
 SLOW_LIMIT = 1.0
+#: Share of the own link from which an answer is taken to be as fast as that allows.
+OWN_LINK_SHARE = 0.3
+BYTES_PER_MEGABIT = 125_000
 
 
 class Patience:
@@ -61,11 +64,16 @@
             self._factor *= 2
         return silent
 
-    def is_slow(self, progress, now):
+    def is_slow(self, progress, link, now):
         """Return whether a second source is to be asked beside the present one.
 
+        Not where the own link is what is slow: two answers would share it.
+
         :param progress: :class:`~boragegw.gateway.Progress` of the present answer.
+        :param link: megabits a second of this machine's link.
         """
         if self._behind_since == math.inf or now < progress.began + JUDGED_AFTER:
             return False
+        if progress.rate(now) > OWN_LINK_SHARE * link * BYTES_PER_MEGABIT:
+            return False
         return progress.seconds_left(now) > SLOW_LIMIT
--- a/boragegw/gateway/_question.py
+++ b/boragegw/gateway/_question.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from boragegw.gateway import _knowledge
+
 
 class Question:
     """Waits for the first whole answer.
@@ -13,17 +15,26 @@
     def __init__(self, ask):
         self.ask = ask
         self._names = {}
+        self._sources = {}
         self._moved = asyncio.Event()
         self._dropped = False
 
     @property
     def asked(self):
-        """How many sources were asked."""
-        return len(self._names)
+        """Names of the sources that are being asked."""
+        return {name for task, name in self._names.items() if not task.done()}
+
+    @property
+    def progress(self):
+        """:class:`~boragegw.gateway.Progress` of the answer that has come furthest."""
+        found = [s.progress for task, s in self._sources.items() if not task.done()]
+        return max(found, key=lambda p: p.received, default=_knowledge.Progress())
 
     def put_to(self, name, source):
         """Ask ``source`` besides those that have been asked."""
-        self._names[asyncio.ensure_future(self.ask(source))] = name
+        task = asyncio.ensure_future(self.ask(source))
+        self._names[task] = name
+        self._sources[task] = source
         self._moved.set()
 
     def drop(self):
--- a/boragegw/gateway/_replication.py
+++ b/boragegw/gateway/_replication.py
@@ -19,7 +19,7 @@
 LEAST_WAIT = 0.001
 #: Bytes of one record that are accepted.
 VALUE_LIMIT = 16 << 20
-#: Prepared answers of one position that are kept, one for each position asked from.
+#: Prepared answers that are kept, one for each position that followers ask from.
 PREPARED = 16
 HISTORY_LOST = 410
 
