--- a/boragegw/gateway/_choice.py
+++ b/boragegw/gateway/_choice.py
@@ -51,7 +51,10 @@
         return self.membership.own.name in self._probers()
 
     def should_watch(self):
-        """Return whether this process should watch the store for its data centre."""
+        """Return whether this process should watch the store for its data centre.
+
+        One that cannot read the store only tries it, and only if nobody else can.
+        """
         if self._knows_nothing_while_store_is_away():
             return False
         own = self.membership.own
--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -114,7 +114,11 @@
 
     @property
     def lag(self):
-        """Revisions by which a process in sight knows more than this one."""
+        """Revisions by which a process in sight knows more than this one.
+
+        Others state the revision of the latest change that they know; a process whose
+        position has reached it has that change too.
+        """
         return max(0, self.membership.latest_revision() - self.catalogue.position)
 
     # Reading.
