--- a/boragegw/gateway/_carrier.py
+++ b/boragegw/gateway/_carrier.py
@@ -92,6 +92,8 @@
 
     async def _wait_for_configuration(self, request):
         """Wait for the first configuration while it is sure to come soon."""
+        if self.board.configuration is not None:
+            return
         patience = self.dialect.patience(request.headers)
         if patience is None:
             patience = FIRST_LEARNING
--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -282,7 +282,7 @@
         self._patience.expect(self._source_knows_more())
         if progress.received:
             self._check_rate(progress, now)
-        elif self._patience.is_silent(now):
+        elif self._patience.gives_up(now):
             self._leave_source("behind the others")
         elif not self._is_rereading:
             self._check_place()
--- a/boragegw/gateway/_patience.py
+++ b/boragegw/gateway/_patience.py
@@ -52,17 +52,20 @@
         """Note that a source has answered."""
         self._factor = 1
 
-    def is_silent(self, now):
-        """Return whether the present source is to be left; nothing of it has come.
+    def gives_up(self, now):
+        """Return whether to leave the present source, of which nothing has come.
+
+        If so, the next one is waited for twice as long.
 
         Counted from the question at the earliest: a limit that runs on while a new one
         is asked would end that too, before its answer.
         """
         waited = now - max(self._asked_at, self._behind_since)
-        silent = waited > SILENCE_LIMIT * self._factor * self._silence
-        if silent:
-            self._factor *= 2
-        return silent
+        limit = SILENCE_LIMIT * self._factor * self._silence
+        if waited <= limit:
+            return False
+        self._factor *= 2
+        return True
 
     def is_slow(self, progress, link, now):
         """Return whether a second source is to be asked beside the present one.
