After a silent source one that is known to have more is asked

Each left it after 0.3 s, asked it again for 0.6 s and then for 1.2 s, since it was the one to watch it, though a process of the third data centre had stated the later revision. Their followers, which wait three times as long for a source that is itself behind, left after 0.9 s, and those that drew the other stuck one after 1.8 s more.

Now the next question after a silent source goes to a process that is known to have what is lacking, near ones first, for one answer; a process that watches the store for others goes on doing so.

Ruled out: size (3,649 bytes, 18 routes), links, decoding (0.2 ms), lost heartbeats (lag was known at once).

--- a/boragegw/gateway/_choice.py
+++ b/boragegw/gateway/_choice.py
@@ -42,6 +42,16 @@
         """Return the process to read from, or ``None`` if there is none."""
         return self.best_peer() or self._any_peer()
 
+    def informed_peer(self):
+        """Return a process that knows more than this one, or ``None``."""
+        own = self.membership.own
+        position = self.catalogue.position
+        informed = [m for m in self._candidates() if m.revision > position]
+        near = [m for m in informed if m.data_centre == own.data_centre]
+        if not informed:
+            return None
+        return self.random_state.choice(near or informed).name
+
     def avoid(self, name):
         """Follow ``name`` no more for a while."""
         self._avoided[name] = self.now() + AVOIDED
--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -84,6 +84,8 @@
         self._is_rereading = False
         self._bytes_before = 0
         self._second_at = -math.inf
+        self._was_silent = False
+        self._is_detour = False
         self._wait = FIRST_WATCH_WAIT
         self._must_reread = True
 
@@ -92,7 +94,7 @@
         if self.first_start:
             await self._get_acquainted()
         while True:
-            name = self._choice.source()
+            name = self._next_source()
             try:
                 await self._read(name)
             except _knowledge.HistoryLostError as error:
@@ -104,6 +106,18 @@
             except _knowledge.SourceError as error:
                 await self._failed(name, error)
 
+    def _next_source(self):
+        """Return the source to ask now.
+
+        After a silent one it is a process that is known to have what is lacking here,
+        for one answer. Guards against a store that hides changes from some processes:
+        those that watch it for others would ask it again and again.
+        """
+        informed = self._choice.informed_peer() if self._was_silent else None
+        self._was_silent = False
+        self._is_detour = informed is not None
+        return informed or self._choice.source()
+
     async def _get_acquainted(self):
         started = self.now()
         await asyncio.sleep(ACQUAINTANCE)
@@ -283,8 +297,9 @@
         if progress.received:
             self._check_rate(progress, now)
         elif self._patience.gives_up(now):
+            self._was_silent = True
             self._leave_source("behind the others")
-        elif not self._is_rereading:
+        elif not self._is_rereading and not self._is_detour:
             self._check_place()
 
     def _check_rate(self, progress, now):
--- a/boragegw/platform/tests/test_slow_sources.py
+++ b/boragegw/platform/tests/test_slow_sources.py
@@ -5,12 +5,17 @@
 import pytest
 
 from boragegw import gateway, standins
+from boragegw.gateway import _knowledge
 from boragegw.gateway.tests import test_replication
 from boragegw.platform.tests import test_large_configuration, test_sources
 from boragegw.standins import _links, _wire_store, _wire_world
 
 in_memory = standins.in_memory
 
+#: Seconds after a publication until it is in force everywhere, the shortest of the
+#: users' bounds.
+WITHIN = 2.0
+
 
 def recorded(process, events):
     """Note what the process's follower logs."""
@@ -178,3 +183,41 @@
     assert all(call.done() for call in calls)
     assert process.board.learning
     assert not process.board.configured._waiters
+
+
+class SilentStore(gateway.Source):
+    """A store that takes questions and never answers."""
+
+    @property
+    def progress(self):
+        return _knowledge.Progress()
+
+    async def read_all(self):
+        await asyncio.sleep(3600.0)
+
+    async def watch(self, after, wait):
+        await asyncio.sleep(3600.0)
+
+    def close(self):
+        pass
+
+
+@in_memory
+async def test_change_that_the_store_hides_from_some_is_asked_of_those_that_know():
+    """Two of three data centres kept asking a store that answered only the third."""
+    installation = await standins.WireWorld().start(
+        gateways=18, data_centres=("dc-a", "dc-b", "dc-c")
+    )
+    await asyncio.sleep(20.0)
+    processes = installation.processes.values()
+    roots = [process for process in processes if process.own.watches_store]
+    for process in roots:
+        if process.own.data_centre != "dc-b":
+            process.follower.store = SilentStore()
+    installation.publish([installation.route("/first/")])
+    await asyncio.sleep(5.0)
+    for number in range(5):
+        installation.publish([installation.route(f"/{number}/")])
+        await asyncio.sleep(WITHIN)
+        assert (number, test_large_configuration.late(installation)) == (number, [])
+        await asyncio.sleep(5.0)
