--- a/boragegw/platform/tests/test_slow_sources.py
+++ b/boragegw/platform/tests/test_slow_sources.py
@@ -6,7 +6,7 @@
 
 from boragegw import gateway, standins
 from boragegw.gateway import _knowledge
-from boragegw.gateway.tests import test_replication
+from boragegw.gateway.tests import test_catalogue, test_replication
 from boragegw.platform.tests import test_large_configuration, test_sources
 from boragegw.standins import _links, _wire_store, _wire_world
 
@@ -221,3 +221,56 @@
         await asyncio.sleep(WITHIN)
         assert (number, test_large_configuration.late(installation)) == (number, [])
         await asyncio.sleep(5.0)
+
+
+@in_memory
+async def test_delayed_entry_of_a_doubted_server_is_not_passed_on():
+    """The draining entry lapses in trouble; then an older report is put once more."""
+    installation = await standins.WireWorld().start(gateways=2)
+    await asyncio.sleep(3.0)
+    leaving = installation.backends["i-0"]
+    installation.store.put("servers/i-0", leaving.entry("app", state="draining", seq=9))
+    await asyncio.sleep(1.0)
+    for process in installation.processes.values():
+        process.catalogue.trouble_at = installation.loop.time()
+    installation.store.delete("servers/i-0")
+    await asyncio.sleep(0.6)
+    installation.store.put("servers/i-0", leaving.entry("app", seq=8))
+    await asyncio.sleep(1.0)
+    await installation.add_gateway("gw-9")
+    await asyncio.sleep(3.0)
+    draining = {
+        name: process.board.servers["servers/i-0"].listing.draining
+        for name, process in installation.processes.items()
+    }
+    assert len(set(draining.values())) == 1, draining
+
+
+def test_key_deleted_between_two_pages_is_no_missed_change():
+    """The reading's position is the first page's; the deletion comes after it."""
+    source = test_catalogue.catalogue()
+    source.adopt_snapshot(test_catalogue.reading(10, a=1, b=2))
+    source.adopt_snapshot(test_catalogue.reading(10, a=1))  # b deleted at 11
+    source.adopt_changes(test_catalogue.reading(11, b=-11))
+    try:
+        source.changes(10, 0)
+    except gateway.HistoryLostError:
+        pytest.fail("all followers read all anew")
+
+
+@in_memory
+async def test_follower_that_comes_back_to_a_source_need_not_read_all_anew():
+    """It was told under the present number; another object for the address forgot."""
+    pair = await test_replication.Pair().start(test_replication.large())
+    pair.source.adopt_changes(gateway.Reading([], 5))
+    missed = gateway.Record(test_replication.KEY, test_replication.large(2), 4)
+    pair.source.adopt_snapshot(gateway.Reading([missed], 5))
+    pair.follower.adopt_snapshot(await pair.client.read_all())
+    await pair.follow()
+    again = gateway.PeerSource(
+        test_replication.SERVER,
+        pair.follower,
+        now=pair.loop.time,
+        counters=pair.counters,
+    )
+    await again.watch(pair.follower.position, 0.1)
--- a/boragegw/platform/tests/test_time_limits.py
+++ b/boragegw/platform/tests/test_time_limits.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from boragegw import gateway, standins
+from boragegw.gateway.tests import test_front
 
 in_memory = standins.in_memory
 FRONT = ("gw-0", 8548)
@@ -101,3 +102,61 @@
     assert (reply.status, len(reply.body)) == (200, LARGE)
     assert reply.seconds < 1.0
     assert len(installation.runs("/d")) == 2
+
+
+@in_memory
+async def test_upload_that_took_long_may_still_wait_for_room():
+    """Its wait had run from its first byte: it was refused at once."""
+    installation = await standins.WireWorld().start(kind="unsafe")
+    for backend in installation.backends.values():
+        backend.load = "6,0,6,100"
+    started = installation.loop.time()
+    sending = asyncio.create_task(upload(installation, b"x" * 60_000, 0.3, 10_000))
+    await asyncio.sleep(0.32)
+    for backend in installation.backends.values():
+        backend.load = "0,0,6,100"
+    assert await sending == 200, installation.loop.time() - started
+
+
+@in_memory
+async def test_body_without_room_is_refused_before_it_is_sent():
+    """It is taken in part and dropped when the memory is full."""
+    process = test_front.Process()
+    process.body_memory = gateway.BodyMemory(limit=100)
+    head = test_front.HEAD + b"content-length: 80\r\n\r\n"
+    first, kept = test_front.connect(process)
+    second, refused = test_front.connect(process)
+    first.data_received(head + b"z" * 10)
+    second.data_received(head)
+    await asyncio.sleep(0.01)
+    assert test_front.statuses(refused) == [503]
+    first.data_received(b"z" * 70)
+    await asyncio.sleep(0.01)
+    assert test_front.statuses(kept) == [200]
+
+
+@in_memory
+async def test_caller_that_leaves_during_a_stalled_answer_is_noticed():
+    """Only more bytes wake the request: it holds its connection to the server."""
+    installation = await standins.WireWorld().start(kind="download")
+    for backend in installation.backends.values():
+        backend.body = b"x" * 1_000_000
+        installation.network.set_link(backend.address[0], 10.0)
+    process = installation.processes["gw-0"]
+    call = asyncio.create_task(installation.call("/d", x_deadline_ms="10000"))
+    await asyncio.sleep(0.3)
+    for near, far in installation.network.connections:
+        if near.remote[0].startswith("host-"):
+            near.silent = far.silent = True
+            far.other = None
+    await asyncio.sleep(0.5)
+    for near, _ in installation.network.connections:
+        if near.remote == FRONT:
+            near.abort()
+    await call
+    await asyncio.sleep(20.0)
+    serving = [
+        task for task in asyncio.all_tasks() if "FrontConnection._serve" in repr(task)
+    ]
+    assert not serving
+    assert not process.connections
