--- a/boragegw/platform/tests/test_slow_sources.py
+++ b/boragegw/platform/tests/test_slow_sources.py
@@ -8,7 +8,7 @@
 from boragegw.gateway import _knowledge
 from boragegw.gateway.tests import test_catalogue, test_replication
 from boragegw.platform.tests import test_large_configuration, test_sources
-from boragegw.standins import _links, _wire_store, _wire_world
+from boragegw.standins import _wire_store, _wire_world
 
 in_memory = standins.in_memory
 
@@ -29,27 +29,10 @@
     log.event = event
 
 
-async def trickling(monkeypatch):
-    """Return three gateways of which the first watches the store and trickles."""
-    monkeypatch.setattr(_links, "SEGMENT", 256)
-    monkeypatch.setattr(_links, "WINDOW", 1024)
-    installation = await test_sources.world()
-    installation.publish([standins.WireWorld.route()])
-    await installation.add_backend("i-0")
-    for number in range(3):
-        rate = 200.0 if number == 0 else 100.0
-        await installation.add_gateway(f"gw-{number}", link=rate)
-    await asyncio.sleep(10.0)
-    assert installation.processes["gw-0"].own.watches_store
-    installation.network.set_link("gw-0", 0.02)
-    installation.network._incoming.clear()
-    return installation
-
-
 @in_memory
 async def test_second_answer_goes_on_where_the_first_source_fails(monkeypatch):
     """The second one is half here when the first, slow one breaks off."""
-    installation = await trickling(monkeypatch)
+    installation = await test_sources.trickling(monkeypatch)
     process = installation.processes["gw-1"]
     events = []
     recorded(process, events)
@@ -72,7 +55,7 @@
 @in_memory
 async def test_third_source_is_asked_where_the_second_one_fails(monkeypatch):
     """The store fails for a moment, just when it is asked beside a slow source."""
-    installation = await trickling(monkeypatch)
+    installation = await test_sources.trickling(monkeypatch)
     installation.publish(standins.many_routes(1300))
     await asyncio.sleep(0.3)
     assert test_large_configuration.late(installation) == ["gw-1", "gw-2"]
--- a/boragegw/platform/tests/test_sources.py
+++ b/boragegw/platform/tests/test_sources.py
@@ -229,8 +229,8 @@
     assert process.board.ready, store.calls
 
 
-@in_memory
-async def test_source_that_trickles_is_left_for_one_that_has_all(monkeypatch):
+async def trickling(monkeypatch):
+    """Return three gateways of which the first watches the store and trickles."""
     monkeypatch.setattr(_links, "SEGMENT", 256)
     monkeypatch.setattr(_links, "WINDOW", 1024)
     installation = await world()
@@ -241,8 +241,14 @@
         await installation.add_gateway(f"gw-{number}", link=rate)
     await asyncio.sleep(10.0)
     assert installation.processes["gw-0"].own.watches_store
-    installation.network.set_link("gw-0", 0.02)  # as with a broken cable
+    installation.network.set_link("gw-0", 0.02)
     installation.network._incoming.clear()
+    return installation
+
+
+@in_memory
+async def test_source_that_trickles_is_left_for_one_that_has_all(monkeypatch):
+    installation = await trickling(monkeypatch)
     installation.publish(standins.many_routes(1300))
     await asyncio.sleep(20.0)
     assert test_large_configuration.late(installation) == []
