The newest report of a server counts, whatever the store holds later

Callers saw: a backend server that had announced its leaving got new work from every process that started later, for good, while the others kept to its word.

Cause: the store took a delayed report (8, ready) after a newer one (9, draining). Processes that knew 9 kept to it, but where the key had been deleted in between they stored and passed on the bytes of 8. And a process that starts knows nobody for its first milliseconds, so it reads 8 from the store itself; after that it is told only what changes, and nothing told it that others knew better. The same elsewhere: without trouble at the store the server was dropped when its entry went, and the delayed report listed it as ready everywhere.

A heartbeat carries a digest of what is retained (nothing where nothing is); who sees another digest asks for those records once. Why it works: the mark travels with the record through every process, so any of them can tell it, and two that hold the same state the same digest and ask nothing.

A report with a higher number is still taken by all.

--- a/boragegw/gateway/_catalogue.py
+++ b/boragegw/gateway/_catalogue.py
@@ -1,10 +1,11 @@
 """Adopts published records: servers, configuration, evacuations; never goes back."""
 
 import asyncio
+import dataclasses
 import itertools
 
 from boragegw import balancing
-from boragegw.gateway import _compression, _knowledge
+from boragegw.gateway import _compression, _knowledge, _reports
 
 #: Deletions that are kept for other processes that follow this one. Of a record that
 #: was put several times the latest is enough.
@@ -36,6 +37,8 @@
         self._records = {}
         self._deleted = {}
         self._previous = {}
+        self._retained = {}
+        self._reports = _reports.Reports()
         self._revision = 0
         self._history_from = 0
         self._position = -1
@@ -54,6 +57,11 @@
             return self._revision
         return max((r.revision for r in self._changed_after(0)), default=0)
 
+    @property
+    def retained(self):
+        """Records of which the store holds an older form."""
+        return self._retained.values()
+
     # What other processes read.
 
     def snapshot(self):
@@ -121,6 +129,7 @@
             self._history_from = reading.position
         self._position = reading.position
         self.generation += 1
+        self._take_retained(record for record in reading.records if record.retained)
         self._finish()
         return True
 
@@ -165,15 +174,54 @@
         if reading.records:
             self._finish()
 
+    def adopt_retained(self, records):
+        """Take what another process retains; return how many records were newer.
+
+        :param records: iterable of :class:`Record`.
+        """
+        taken = self._take_retained(records)
+        if taken:
+            self.generation += 1
+            self._finish()
+        return taken
+
+    def _take_retained(self, records):
+        taken = 0
+        for record in records:
+            listing = self.decoder.listing(record)
+            if listing is not None:
+                taken += self._take_report(_reports.Report(record, listing))
+        return taken
+
+    def _take_report(self, report):
+        """Take a report that another process retains; return whether it is newer.
+
+        Of a server that is not listed here it is kept: the older one may yet come.
+        """
+        key = report.record.key
+        newest = self._reports.newest(key)
+        if newest is not None and not report.is_newer_than(newest):
+            return False
+        if key in self._records and key in self.board.servers:
+            revision = self._records[key].revision
+            self._apply(dataclasses.replace(report.record, revision=revision))
+        else:
+            self._reports.note_departed(report)
+        return True
+
     def _apply(self, record):
         self._revision = max(self._revision, record.revision)
-        if record.value is not None:
-            self._deleted.pop(record.key, None)
-            known = self._records.get(record.key)
-            if not self._put(record) and known is not None:
-                record = _knowledge.Record(record.key, known.value, record.revision)
-            self._records[record.key] = record
+        self._retained.pop(record.key, None)
+        if record.value is None:
+            self._delete(record)
             return
+        self._deleted.pop(record.key, None)
+        record = self._put(record)
+        self._records[record.key] = record
+        if record.retained:
+            self._retained[record.key] = record
+
+    def _delete(self, record):
         self._records.pop(record.key, None)
         self._previous.pop(record.key, None)
         # At the end, where the latest deletions stand.
@@ -218,7 +266,7 @@
             self.on_change()
 
     def _put(self, record):
-        """Take over what a record means; return whether it is newer than what is known.
+        """Take over what a record means; return it, or the newer one that is known.
 
         What is older is not passed on either: who reads it later would not know better.
         """
@@ -226,12 +274,15 @@
         configuration = self.decoder.configuration(record)
         if configuration is not None:
             seconds = round(self.now() - started, 4)
-            return self._adopt_configuration(configuration, record, seconds)
+            known = self._records.get(record.key)
+            if self._adopt_configuration(configuration, record, seconds) or not known:
+                return record
+            return dataclasses.replace(known, revision=record.revision)
         listing = self.decoder.listing(record)
         if listing is not None:
             return self._adopt_listing(record, listing)
         self._remove(record.key)
-        return True
+        return record
 
     def _adopt_configuration(self, configuration, record, seconds):
         current = self.board.configuration
@@ -256,39 +307,44 @@
         return True
 
     def _adopt_listing(self, record, listing):
-        """Take a server's entry unless it is older than the one that is known.
-
-        Guards against a report that was delayed and overwrites a newer one: it would
-        bring a server back that is leaving, or hide that it has started again.
-        """
+        """Take a server's entry, or the newer one that is known; return its record."""
         self._doubted.pop(record.key, None)
+        report = self._reports.take(_reports.Report(record, listing))
+        if report.listing is not listing:
+            self._note_older(record, listing, report.listing)
         server = self.board.servers.get(record.key)
-        now = self.now()
-        if server is not None and not server.removed:
-            known = server.listing
-            if (listing.started_ms, listing.sequence) < (
-                known.started_ms,
-                known.sequence,
-            ):
-                return False
-            restarted = listing.started_ms != known.started_ms
-            if listing.address == known.address and not restarted:
-                self._update(server, listing, now)
-                return True
+        if server is None or _has_restarted(server.listing, report.listing):
+            self._list(report)
+        elif report.listing is not server.listing:
+            self._update(server, report.listing, self.now())
+        return report.record
+
+    def _note_older(self, record, listing, known):
+        self.log.event(
+            "older-report",
+            server=known.identity,
+            revision=record.revision,
+            sequence=listing.sequence,
+            known=known.sequence,
+            draining=known.draining,
+        )
+
+    def _list(self, report):
+        listing = report.listing
         server = balancing.Server(listing)
         if listing.cold_for > 0:
-            server.cold_until = now + listing.cold_for
-        self.board.servers[record.key] = server
+            server.cold_until = self.now() + listing.cold_for
+        self.board.servers[report.record.key] = server
         if self._position >= 0:
             self.on_joined(server)
         self.log.event(
             "server-listed",
             server=listing.identity,
             service=listing.service,
+            draining=listing.draining,
             cold_for=listing.cold_for,
-            revision=record.revision,
+            revision=report.record.revision,
         )
-        return True
 
     def _update(self, server, listing, now):
         if listing.draining != server.listing.draining:
@@ -313,6 +369,7 @@
 
     def _drop(self, key):
         server = self.board.servers.pop(key)
+        self._reports.depart(key)
         server.removed = True
         self.log.event("server-gone", server=server.identity)
 
@@ -340,3 +397,7 @@
         }
         self.board.by_service = groups
         self.on_addresses_gone(before - addresses)
+
+
+def _has_restarted(known, listing):
+    return (known.address, known.started_ms) != (listing.address, listing.started_ms)
--- a/boragegw/gateway/_knowledge.py
+++ b/boragegw/gateway/_knowledge.py
@@ -19,11 +19,13 @@
 
     :param value: bytes, or ``None`` if it was deleted.
     :param revision: revision of its last change.
+    :param retained: ``value`` is newer than what the store holds at that revision.
     """
 
     key: str
     value: bytes | None
     revision: int
+    retained: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/boragegw/gateway/_membership.py
+++ b/boragegw/gateway/_membership.py
@@ -248,6 +248,7 @@
             revision=pulse.revision,
             reads_store=pulse.reads_store,
             watches_store=pulse.watches_store,
+            retained=pulse.retained,
         )
         self._hear(known, self.now() - max(0, pulse.age_ms) / 1000)
 
@@ -334,6 +335,7 @@
         member.reads_store,
         member.watches_store,
         round(1000 * age),
+        member.retained,
     )
 
 
--- a/boragegw/gateway/_peer_messages.py
+++ b/boragegw/gateway/_peer_messages.py
@@ -29,6 +29,8 @@
     :param watches_store: whether it watches the store itself.
     :param link: megabits a second of its machine's link.
     :param replica_format: see :data:`REPLICA_FORMAT`; 0 for processes that state none.
+    :param retained: digest of the reports that it retains, see
+        :mod:`~boragegw.gateway._reconciliation`.
     """
 
     name: str
@@ -43,6 +45,7 @@
     watches_store: bool = False
     link: float = 1000.0
     replica_format: int = 0
+    retained: int = 0
 
 
 class News(msgspec.Struct, array_like=True):
@@ -72,6 +75,7 @@
     :param incarnation: names the process.
     :param age_ms: milliseconds since the sender has heard it; 0 for the sender itself.
         Whole numbers take a third of the bytes of fractions.
+    :param retained: see :class:`Member`.
     """
 
     incarnation: int
@@ -81,6 +85,7 @@
     reads_store: bool
     watches_store: bool
     age_ms: int = 0
+    retained: int = 0
 
 
 class Pulses(msgspec.Struct, array_like=True, tag="p"):
--- a/boragegw/gateway/_process.py
+++ b/boragegw/gateway/_process.py
@@ -16,6 +16,7 @@
     _front,
     _membership,
     _peer_messages,
+    _reconciliation,
     _replication,
 )
 
@@ -147,6 +148,9 @@
             first_start=settings.first_start,
             **drawn,
         )
+        self.reconciler = _reconciliation.Reconciler(
+            self.catalogue, self.membership, self._peer_source, **drawn
+        )
         self.replicas = _replication.ReplicaServer(self.catalogue, now=self.now)
         self.directory = _directory.DirectoryPolicy()
         self.catalogue.on_change = self._note_ready
@@ -220,6 +224,7 @@
         self.log.event("start", incarnation=self.own.incarnation)
         self.membership.tick()
         self._run(self.follower.run())
+        self._run(self.reconciler.run())
         self._run(self._every(_membership.INTERVAL, self.membership.tick))
         self._run(self._every(CHECK_INTERVAL, self.follower.check))
         self._run(self._every(SWEEP_INTERVAL, self.asker.sweep))
--- a/boragegw/gateway/_replication.py
+++ b/boragegw/gateway/_replication.py
@@ -2,9 +2,9 @@
 
 ``GET /v1/replica/records`` returns all records, ``GET /v1/replica/changes`` with
 ``after``, ``misses`` and ``wait_ms`` those that have changed since, as soon as there
-are any. The
-body is a :class:`Replica` in MessagePack; a large one is compressed, and a large record
-that changes goes as the difference to its last value.
+are any. ``GET /v1/replica/retained`` returns those of which the store holds an older
+form. The body is a :class:`Replica` in MessagePack; a large one is compressed, and a
+large record that changes goes as the difference to its last value.
 """
 
 import msgspec
@@ -13,6 +13,7 @@
 
 RECORDS = "/v1/replica/records"
 CHANGES = "/v1/replica/changes"
+RETAINED = "/v1/replica/retained"
 #: Seconds until an answer begins, besides the time that a watch waits.
 ANSWER_TIMEOUT = 1.0
 #: Seconds below which a watch does not wait any longer.
@@ -30,12 +31,14 @@
     :param value: bytes, or ``None`` if the record was deleted.
     :param base: revision of the record to which ``value`` is the difference; 0 if
         ``value`` is whole.
+    :param retained: as in :class:`~boragegw.gateway.Record`.
     """
 
     key: str
     revision: int
     value: bytes | None
     base: int = 0
+    retained: bool = False
 
 
 class Replica(msgspec.Struct, array_like=True):
@@ -72,6 +75,8 @@
             return self._records()
         if path == CHANGES:
             return await self._changes(_endpoint.query_of(request))
+        if path == RETAINED:
+            return self._reply(map(_whole_change, self.catalogue.retained))
         return _endpoint.Reply(404)
 
     def _records(self):
@@ -108,12 +113,14 @@
     def _make(self, after, misses):
         if after is None:
             reading = self.catalogue.snapshot()
-            changes = [Change(r.key, r.revision, r.value) for r in reading.records]
+            changes = map(_whole_change, reading.records)
         else:
             reading = self.catalogue.changes(after, misses)
-            changes = [self._change(record, after) for record in reading.records]
-        position = reading.position if after is None else max(after, reading.position)
-        body = self._encode(Replica(changes, position, self.catalogue.misses))
+            changes = (self._change(record, after) for record in reading.records)
+        return self._reply(changes, max(after or 0, reading.position))
+
+    def _reply(self, changes, position=0):
+        body = self._encode(Replica(list(changes), position, self.catalogue.misses))
         content_type = b"application/msgpack"
         if len(body) < _compression.LARGE:
             return _endpoint.Reply(200, body, content_type)
@@ -124,9 +131,11 @@
         """Return a change for a process that knows everything up to ``after``."""
         base = self.catalogue.previous(record)
         if base is None or base.revision > after:
-            return Change(record.key, record.revision, record.value)
+            return _whole_change(record)
         difference = _compression.difference(record.value, base.value)
-        return Change(record.key, record.revision, difference, base.revision)
+        return Change(
+            record.key, record.revision, difference, base.revision, record.retained
+        )
 
 
 class PeerSource(_knowledge.Source):
@@ -161,6 +170,10 @@
         path += f"&misses={self._misses}"
         return await self._read(path, wait + ANSWER_TIMEOUT)
 
+    async def read_retained(self):
+        """Return a reading of the records that the store holds in an older form."""
+        return await self._read(RETAINED, ANSWER_TIMEOUT)
+
     def close(self):
         """Close the idle connections."""
         self._fetcher.close()
@@ -181,7 +194,7 @@
 
     def _record(self, change):
         if not change.base or change.value is None:
-            return _knowledge.Record(change.key, change.value, change.revision)
+            return _record(change, change.value)
         base = self.catalogue.record(change.key)
         if base is None or base.revision != change.base:
             raise _knowledge.HistoryLostError(
@@ -191,7 +204,15 @@
             value = _compression.apply_difference(change.value, base.value, VALUE_LIMIT)
         except _compression.CompressionError as error:
             raise _knowledge.HistoryLostError(f"{change.key}: {error}") from error
-        return _knowledge.Record(change.key, value, change.revision)
+        return _record(change, value)
+
+
+def _record(change, value):
+    return _knowledge.Record(change.key, value, change.revision, change.retained)
+
+
+def _whole_change(record):
+    return Change(record.key, record.revision, record.value, 0, record.retained)
 
 
 def _whole(answer):
