A request's wait for room begins when it looks for room

Callers saw: an upload that took 0.1 s or more to arrive was refused with 503 a few milliseconds after its last byte if no place was free at that moment, though one was free 0.02 s later.

Cause: the wait, a tenth of the route's target latency, ran from the request's first byte, so the time that the caller took to send it was taken off.

Ruled out: the deadline (10 s) and the route's timeout (2 s and 5 s).

Mend: it runs from when the request is whole, its turn on its connection has come and its route is known. The same elsewhere, mended with it: a request behind a slow one on its connection, and the wait for the first configuration of an upload without a deadline.

--- a/boragegw/balancing/_shedding.py
+++ b/boragegw/balancing/_shedding.py
@@ -70,14 +70,15 @@
         self.retry_share = retry_share
         self.least_retry = least_retry
 
-    def hold_until(self, route, arrived, urgent=False):
+    def hold_until(self, route, admitted_at, urgent=False):
         """Return the monotonic seconds until which a request waits for room.
 
+        :param admitted_at: monotonic seconds at which it began to look for room.
         :param urgent: much of the service's work is less urgent.
         """
         self._check_params()
         share = self.urgent_hold_share if urgent else self.hold_share
-        return arrived + share * route.target_latency
+        return admitted_at + share * route.target_latency
 
     def retry_after(self, route):
         """Return the seconds after which a refused caller should come back."""
--- a/boragegw/gateway/_call.py
+++ b/boragegw/gateway/_call.py
@@ -30,6 +30,8 @@
     """One request on its way.
 
     :param state: the service's :class:`ServiceState`.
+    :param admitted_at: monotonic seconds at which it was whole, its turn had come on
+        its connection, and its route was known.
     :param give_up_at: monotonic seconds at which it gets its final answer.
     :param tried: identities of the servers that it was sent to.
     :param sends: times it was sent.
@@ -44,6 +46,7 @@
     route: balancing.Route
     service: balancing.ServiceSettings
     state: object
+    admitted_at: float
     give_up_at: float
     tried: set = dataclasses.field(default_factory=set)
     sends: int = 0
--- a/boragegw/gateway/_carrier.py
+++ b/boragegw/gateway/_carrier.py
@@ -96,8 +96,9 @@
             return
         patience = self.dialect.patience(request.headers)
         if patience is None:
-            patience = FIRST_LEARNING
-        end = request.arrived + patience - DEADLINE_MARGIN
+            end = self.now() + FIRST_LEARNING
+        else:
+            end = request.arrived + patience - DEADLINE_MARGIN
         while self.board.configuration is None and (left := end - self.now()) > 0:
             over = self.now() >= self._learning_until and not self.board.learning
             if over or request.caller_gone:
@@ -138,7 +139,7 @@
             patience = math.inf
         left = min(patience - DEADLINE_MARGIN, route.timeout)
         return _call.Call(
-            request, request_id, route, service, state, request.arrived + left
+            request, request_id, route, service, state, now, request.arrived + left
         )
 
     def _next_service(self, route):
--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -135,7 +135,7 @@
 
     def _hold_until(self, call):
         urgent = call.state.ranks.is_urgent(call.route.priority, self.now())
-        return self.shedding.hold_until(call.route, call.request.arrived, urgent)
+        return self.shedding.hold_until(call.route, call.admitted_at, urgent)
 
     async def _search(self, call):
         """Search once; return a place or ``None``, and whether no server answered."""
