A body is promised room at its head or refused there

Callers saw: an upload that could not be held was taken in part, dropped when the memory for bodies was full, and refused with 503; its caller had sent it for nothing. A caller that waits to be asked was asked for it.

Cause: room was counted as bytes arrived. A head that states a length reserved nothing, so more bodies began than could end.

Mend: the stated length is reserved at the head, or the request is refused there with 503, unrun and unread. The room is given back when the request is answered or refused, or its caller leaves. A body in chunks states no length and takes what nobody was promised. A refusal before the request is whole is counted and told in a line, request-not-read: no log said why a caller had got it.

--- a/boragegw/gateway/_front.py
+++ b/boragegw/gateway/_front.py
@@ -25,6 +25,7 @@
     :param method: bytes.
     :param target: path and query as sent.
     :param headers: pairs of bytes, names in lower case.
+    :param room: bytes of :class:`BodyMemory` that are reserved for its body.
     :param arrived: monotonic seconds of its first byte.
     :param left: future that ends when the caller has left.
     """
@@ -33,6 +34,7 @@
     target: bytes = b""
     headers: list = dataclasses.field(default_factory=list)
     body: bytearray = dataclasses.field(default_factory=bytearray)
+    room: int = 0
     arrived: float = 0.0
     keep_alive: bool = True
     refused: int = 0
@@ -52,12 +54,25 @@
 
 
 class BodyMemory:
-    """Bytes of request bodies held by this process."""
+    """Bytes of request bodies that this process holds or has promised to hold."""
 
     def __init__(self, limit=BODY_MEMORY):
         self.limit = limit
         self.held = 0
 
+    def reserve(self, request, size):
+        """Reserve ``size`` more bytes for a request; return whether there is room."""
+        if self.held + size > self.limit:
+            return False
+        self.held += size
+        request.room += size
+        return True
+
+    def free(self, request):
+        """Give back what is reserved for a request."""
+        self.held -= request.room
+        request.room = 0
+
 
 class FrontConnection(asyncio.Protocol):
     """One connection of a caller.
@@ -172,26 +187,43 @@
         # The parser stops behind a request that changes the protocol.
         fault = 400 if self._parser.should_upgrade() else 0
         fault = fault or _head_fault(request, self.gateway.limits)
+        fault = fault or self._room_fault(request)
         if fault:
             self._refuse_now(fault)
         elif request.header(b"expect") is not None:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def _room_fault(self, request):
+        """Return 503 if there is no room for a body whose length is stated, or 0.
+
+        Room is promised for the whole of it: one that is taken in part and then refused
+        has cost its caller the time to send it.
+        """
+        stated = int(request.header(b"content-length") or 0)
+        return 0 if self.gateway.body_memory.reserve(request, stated) else 503
+
     def on_body(self, data):
         """Collect the body within the limits."""
         if self._deaf:
             return
         request = self._request
-        memory = self.gateway.body_memory
-        if len(request.body) + len(data) > self.gateway.limits.body_bytes:
+        size = len(request.body) + len(data)
+        if size > self.gateway.limits.body_bytes:
             self._refuse_now(413)
-        elif memory.held + len(data) > memory.limit:
+        elif not self._has_room(request, size):
             self._refuse_now(503)
         else:
-            memory.held += len(data)
             request.body += data
             self._arm(self.gateway.limits.idle_timeout, self._on_slow_body)
 
+    def _has_room(self, request, size):
+        """Return whether a body may grow to ``size`` bytes.
+
+        One that comes in chunks does not state its length: it takes what is left.
+        """
+        lacking = max(0, size - request.room)
+        return self.gateway.body_memory.reserve(request, lacking)
+
     def on_message_complete(self):
         """Serve the request, or queue it behind the one in progress."""
         if self._deaf:
@@ -231,7 +263,7 @@
             self.gateway.note_error(error)
             self.abort()
         finally:
-            self.gateway.body_memory.held -= len(request.body)
+            self.gateway.body_memory.free(request)
             self._task = None
         if self._closing:
             return
@@ -243,13 +275,13 @@
 
     def _drop_waiting(self):
         for request in self._waiting:
-            self.gateway.body_memory.held -= len(request.body)
+            self.gateway.body_memory.free(request)
         self._waiting.clear()
         if self._request is not None:
             self._drop_body(self._request)
 
     def _drop_body(self, request):
-        self.gateway.body_memory.held -= len(request.body)
+        self.gateway.body_memory.free(request)
         request.body = bytearray()
 
     # Writing.
--- a/boragegw/gateway/_metrics.py
+++ b/boragegw/gateway/_metrics.py
@@ -23,6 +23,7 @@
     "requests.defects": "requests that an error of the gateway itself ended",
     "requests.hedged": "second attempts of slow idempotent requests",
     "requests.retried": "attempts after a failed one",
+    "requests.not_read.*": "requests refused before they were whole, by status",
     "requests.quarantined": "requests refused because they crash backend servers",
     "requests.caller_gone": "callers that went away before their answer",
     "attempts.sent": "attempts sent to backend servers",
@@ -39,7 +40,7 @@
     "peers.send_errors": "datagrams that could not be delivered",
 }
 #: Label under which the variable part of a counter's name is shown.
-LABELS = {"requests.failed.*": "status"}
+LABELS = {"requests.failed.*": "status", "requests.not_read.*": "status"}
 GAUGES = {
     "ready": "whether requests are accepted, 1 or 0",
     "servers": "backend servers that are listed",
--- a/boragegw/gateway/_process.py
+++ b/boragegw/gateway/_process.py
@@ -194,8 +194,16 @@
         await self.carrier.carry(request, writer)
 
     def refusal(self, status, request):
-        """Return the answer to a request that was not accepted."""
+        """Return the answer to a request that was not read to its end; tell of it."""
         request_id = self.dialect.request_id(request.headers)
+        self.board.counters[f"requests.not_read.{status}"] += 1
+        self.log.event(
+            "request-not-read",
+            request=(request_id or b"").decode("latin-1"),
+            status=status,
+            bodies=self.body_memory.held,
+            after=round(self.now() - request.arrived, 4),
+        )
         return self.dialect.refusal(status, request_id, None, True)
 
     def note_error(self, error):
--- /dev/null
+++ b/boragegw/gateway/tests/test_body_memory.py
@@ -0,0 +1,138 @@
+"""Room for request bodies: promised at the head, kept, given back."""
+
+import asyncio
+
+import pytest
+
+from boragegw import gateway, standins
+from boragegw.gateway.tests import test_front
+
+in_memory = standins.in_memory
+
+
+def head(size, *lines):
+    fields = [b"content-length: %d" % size, *lines]
+    return test_front.HEAD + b"\r\n".join(fields) + b"\r\n\r\n"
+
+
+class Callers:
+    """Connections to a process that holds at most ``limit`` bytes of bodies."""
+
+    def __init__(self, limit):
+        self.process = test_front.Process()
+        self.process.body_memory = gateway.BodyMemory(limit=limit)
+
+    @property
+    def held(self):
+        return self.process.body_memory.held
+
+    def connect(self):
+        return test_front.connect(self.process)
+
+    async def statuses(self, *transports):
+        await asyncio.sleep(0.01)
+        return [test_front.statuses(transport) for transport in transports]
+
+
+@pytest.mark.parametrize(
+    ("limit", "sizes", "refused"),
+    [
+        (100, [80, 80], [1]),
+        (100, [45, 45, 45], [2]),
+        (100, [100, 1], [1]),
+        (100, [101], [0]),
+        (100, [60, 50, 40], [1]),
+        (1000, [400, 400, 400, 200], [2]),
+    ],
+)
+@pytest.mark.parametrize("sent", [0, 1, 10])
+@in_memory
+async def test_body_that_cannot_be_held_is_refused_at_its_head(
+    limit, sizes, refused, sent
+):
+    """It was taken in part and then dropped: its caller had sent it for nothing."""
+    callers = Callers(limit)
+    ends = [callers.connect() for _ in sizes]
+    for (connection, _), size in zip(ends, sizes, strict=True):
+        connection.data_received(head(size))
+        if size >= sent > 0:
+            connection.data_received(b"z" * sent)
+    transports = [transport for _, transport in ends]
+    expected = [[503] if n in refused else [] for n in range(len(sizes))]
+    assert await callers.statuses(*transports) == expected
+    kept = [n for n in range(len(sizes)) if n not in refused]
+    for number in kept:
+        rest = sizes[number] - (sent if sizes[number] >= sent else 0)
+        ends[number][0].data_received(b"z" * rest)
+    expected = [[503] if n in refused else [200] for n in range(len(sizes))]
+    assert await callers.statuses(*transports) == expected
+    bodies = sorted(len(body) for _, _, body in callers.process.served)
+    assert bodies == sorted(sizes[n] for n in kept)
+    assert callers.held == 0
+
+
+@in_memory
+async def test_caller_that_waits_to_be_asked_is_not_asked_for_what_cannot_be_held():
+    callers = Callers(limit=100)
+    first, _ = callers.connect()
+    first.data_received(head(80))
+    second, transport = callers.connect()
+    second.data_received(head(80, b"expect: 100-continue"))
+    assert await callers.statuses(transport) == [[503]]
+
+
+@pytest.mark.parametrize("sent", [0, 30])
+@in_memory
+async def test_caller_that_leaves_gives_back_what_it_was_promised(sent):
+    callers = Callers(limit=100)
+    first, _ = callers.connect()
+    first.data_received(head(80) + b"z" * sent)
+    first.connection_lost(None)
+    second, transport = callers.connect()
+    second.data_received(head(100) + b"z" * 100)
+    assert await callers.statuses(transport) == [[200]]
+    assert callers.held == 0
+
+
+@in_memory
+async def test_body_that_comes_too_slowly_gives_back_what_it_was_promised():
+    callers = Callers(limit=100)
+    first, slow = callers.connect()
+    first.data_received(head(80))
+    await asyncio.sleep(callers.process.limits.idle_timeout + 0.1)
+    assert await callers.statuses(slow) == [[408]]
+    assert callers.held == 0
+
+
+@in_memory
+async def test_chunks_take_no_room_that_is_promised_to_others():
+    """A body in chunks does not state its length; it takes what is left."""
+    callers = Callers(limit=100)
+    first, promised = callers.connect()
+    first.data_received(head(80))
+    second, chunked = callers.connect()
+    second.data_received(test_front.HEAD + b"transfer-encoding: chunked\r\n\r\n")
+    second.data_received(b"14\r\n" + b"z" * 20 + b"\r\n")
+    assert await callers.statuses(chunked) == [[]]
+    second.data_received(b"1\r\nz\r\n")
+    assert await callers.statuses(chunked) == [[503]]
+    first.data_received(b"z" * 80)
+    assert await callers.statuses(promised) == [[200]]
+    assert callers.held == 0
+
+
+@in_memory
+async def test_room_is_held_until_the_request_is_answered():
+    callers = Callers(limit=100)
+    callers.process.delay = 1.0
+    first, answered = callers.connect()
+    first.data_received(head(60) + b"z" * 60)
+    second, refused = callers.connect()
+    second.data_received(head(60))
+    assert await callers.statuses(refused) == [[503]]
+    await asyncio.sleep(1.1)
+    third, later = callers.connect()
+    callers.process.delay = 0.0
+    third.data_received(head(60) + b"z" * 60)
+    assert await callers.statuses(answered, later) == [[200], [200]]
+    assert callers.held == 0
--- a/boragegw/platform/tests/test_uploads.py
+++ b/boragegw/platform/tests/test_uploads.py
@@ -53,6 +53,23 @@
     assert installation.runs("/up") == []
 
 
+@in_memory
+async def test_upload_that_is_not_read_is_told_in_a_line():
+    """On call, nothing said why a caller had got 503."""
+    installation = await standins.WireWorld().start(kind="unsafe")
+    process = installation.processes["gw-0"]
+    process.body_memory.limit = 100
+    lines = []
+    process.log.event = lambda kind, **fields: lines.append((kind, fields))
+    reply = await installation.call("/up", "POST", BODY, x_request_id="large")
+    assert reply.status == 503
+    told = [fields for kind, fields in lines if kind == "request-not-read"]
+    assert [(f["request"], f["status"], f["bodies"]) for f in told] == [
+        ("large", 503, 0)
+    ]
+    assert process.board.counters["requests.not_read.503"] == 1
+
+
 @in_memory
 async def test_request_waits_for_room_from_its_turn_on_the_connection():
     """A request sent behind a slow one had used up its wait before its turn."""
