What a reading in pages lacks is judged by the changes that follow

Seen: whenever a key was deleted between two pages of a full reading, all followers at its position were told to read all anew (410).

A key that is deleted before its page is read is lacking though its deletion is later. The catalogue took it for a change that no watch had told.

Ruled out: dropping the rule.

Mend: what a reading in pages lacks is doubtful until the next changes, and nobody is sent to read anew meanwhile. A deletion that comes with them was later; the rest was missed, and followers are told as before, a second later at most. A reading in one piece is judged at once, also by those that read another process: each process in between would add its second. The judgement moves out of the catalogue, with the deletions, to _history.py.

--- a/benchmarks/_rollout_replica.py
+++ b/benchmarks/_rollout_replica.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import math
 
 from boragegw import gateway, platform, standins
@@ -97,7 +98,7 @@
         ]
         if records != reading.records:
             raise AssertionError("a record has arrived changed")
-        return gateway.Reading(records, reading.position)
+        return dataclasses.replace(reading, records=records)
 
 
 class OpaqueDecoder(gateway.Decoder):
--- a/boragegw/gateway/_catalogue.py
+++ b/boragegw/gateway/_catalogue.py
@@ -5,11 +5,7 @@
 import itertools
 
 from boragegw import balancing
-from boragegw.gateway import _compression, _knowledge, _reports
-
-#: Deletions that are kept for other processes that follow this one. Of a record that
-#: was put several times the latest is enough.
-DELETIONS = 2000
+from boragegw.gateway import _compression, _history, _knowledge, _reports
 
 
 class Catalogue:
@@ -19,7 +15,6 @@
     :param on_addresses_gone: called with addresses that are no longer listed.
     :param on_joined: called with each :class:`~boragegw.balancing.Server` that is
         listed after the first reading.
-    :ivar misses: full readings that showed changes which no watch had told.
     :ivar generation: grows with each reading that is adopted.
     """
 
@@ -32,15 +27,13 @@
         self.on_joined = on_joined
         self.on_change = None
         self.trouble_at = float("-inf")
-        self.misses = 0
         self.generation = 0
         self._records = {}
-        self._deleted = {}
         self._previous = {}
         self._retained = {}
+        self._history = _history.History(log)
         self._reports = _reports.Reports()
         self._revision = 0
-        self._history_from = 0
         self._position = -1
         self._doubted = {}
         self._waiting = set()
@@ -57,6 +50,11 @@
             return self._revision
         return max((r.revision for r in self._changed_after(0)), default=0)
 
+    @property
+    def misses(self):
+        """Times that changes were found which no watch had told."""
+        return self._history.misses
+
     @property
     def retained(self):
         """Records of which the store holds an older form."""
@@ -66,7 +64,8 @@
 
     def snapshot(self):
         """Return a :class:`Reading` of all records."""
-        return _knowledge.Reading(list(self._records.values()), self._position)
+        records = list(self._records.values())
+        return _knowledge.Reading(records, self._position, self._history.consistent)
 
     def changes(self, after, misses=None):
         """Return a :class:`Reading` of the changes after ``after``.
@@ -75,9 +74,7 @@
             been told all that this process knows if it is the same.
         :raises HistoryLostError: if they are no longer known.
         """
-        lost = after < self._history_from
-        if lost or (after == self._history_from and misses not in (None, self.misses)):
-            raise _knowledge.HistoryLostError(f"changes after {after} are not kept")
+        self._history.check(after, misses)
         records = sorted(self._changed_after(after), key=lambda r: r.revision)
         return _knowledge.Reading(records, self._position)
 
@@ -87,7 +84,7 @@
         A full reading in pages also shows later changes. They are told once all others
         before them are known: who knows the later one would never ask for those.
         """
-        known = itertools.chain(self._records.values(), self._deleted.values())
+        known = itertools.chain(self._records.values(), self._history.deletions)
         return (r for r in known if after < r.revision <= self._position)
 
     def record(self, key):
@@ -117,16 +114,11 @@
             )
             return False
         changed, deleted = self._differences(reading)
-        if self._missed(changed, deleted, reading.position):
-            self._history_from = reading.position
-            self.misses += 1
-            self.log.event("changes-missed", position=reading.position)
+        self._history.judge_snapshot(reading, changed, deleted, self._position)
         before = {record.key: self._records.get(record.key) for record in changed}
         for record in itertools.chain(deleted, changed):
             self._apply(record)
         self._keep_previous(before)
-        if self._position < 0:
-            self._history_from = reading.position
         self._position = reading.position
         self.generation += 1
         self._take_retained(record for record in reading.records if record.retained)
@@ -148,19 +140,10 @@
         ]
         return changed, deleted
 
-    def _missed(self, changed, deleted, position):
-        """Return whether a full reading shows what should have been known before.
-
-        Guards against changes that a watch has not told: those that follow this process
-        have passed them too, and only a full reading tells them.
-        """
-        if deleted and position == self._position:
-            return True
-        return any(record.revision <= self._position for record in changed)
-
     def adopt_changes(self, reading):
         """Apply the changes of a watch that are newer than what is known."""
         before = {r.key: self._records.get(r.key) for r in reading.records}
+        missed = self._history.judge_changes(reading, self._position)
         for record in sorted(reading.records, key=lambda r: r.revision):
             known = self._records.get(record.key)
             if known is not None and known.revision >= record.revision:
@@ -171,7 +154,7 @@
         self._position = max(self._position, reading.position)
         self.generation += 1
         self._keep_previous(before)
-        if reading.records:
+        if reading.records or missed:
             self._finish()
 
     def adopt_retained(self, records):
@@ -215,7 +198,7 @@
         if record.value is None:
             self._delete(record)
             return
-        self._deleted.pop(record.key, None)
+        self._history.remove_deletion(record.key)
         record = self._put(record)
         self._records[record.key] = record
         if record.retained:
@@ -224,10 +207,7 @@
     def _delete(self, record):
         self._records.pop(record.key, None)
         self._previous.pop(record.key, None)
-        # At the end, where the latest deletions stand.
-        self._deleted.pop(record.key, None)
-        self._deleted[record.key] = record
-        self._forget_deletions()
+        self._history.add_deletion(record)
         self._remove(record.key)
 
     def _keep_previous(self, before):
@@ -245,11 +225,6 @@
             if large and known is not None:
                 self._previous[key] = known
 
-    def _forget_deletions(self):
-        while len(self._deleted) > DELETIONS:
-            forgotten = self._deleted.pop(next(iter(self._deleted)))
-            self._history_from = max(self._history_from, forgotten.revision)
-
     def _finish(self):
         evacuated = {self.decoder.evacuated(r) for r in self._records.values()}
         evacuated.discard(None)
--- a/boragegw/gateway/_knowledge.py
+++ b/boragegw/gateway/_knowledge.py
@@ -34,10 +34,13 @@
 
     :param records: list of :class:`Record`.
     :param position: revision up to which the reader now knows everything.
+    :param consistent: a full reading that shows all as it was at ``position``. One in
+        pages may also show later changes, and lack what was deleted later.
     """
 
     records: list
     position: int
+    consistent: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/boragegw/gateway/_replication.py
+++ b/boragegw/gateway/_replication.py
@@ -2,9 +2,9 @@
 
 ``GET /v1/replica/records`` returns all records, ``GET /v1/replica/changes`` with
 ``after``, ``misses`` and ``wait_ms`` those that have changed since, as soon as there
-are any. ``GET /v1/replica/retained`` returns those of which the store holds an older
-form. The body is a :class:`Replica` in MessagePack; a large one is compressed, and a
-large record that changes goes as the difference to its last value.
+are any. ``GET /v1/replica/retained`` returns those of which the store
+holds an older form. The body is a :class:`Replica` in MessagePack; a large one is
+compressed, and a large record that changes goes as the difference to its last value.
 """
 
 import msgspec
@@ -45,11 +45,13 @@
     """The body of an answer; ``position`` as in :class:`~boragegw.gateway.Reading`.
 
     :param misses: see :meth:`~boragegw.gateway.Catalogue.changes`.
+    :param consistent: as in :class:`~boragegw.gateway.Reading`.
     """
 
     changes: list[Change]
     position: int
     misses: int = 0
+    consistent: bool = False
 
 
 class ReplicaServer:
@@ -117,10 +119,12 @@
         else:
             reading = self.catalogue.changes(after, misses)
             changes = (self._change(record, after) for record in reading.records)
-        return self._reply(changes, max(after or 0, reading.position))
+        position = max(after or 0, reading.position)
+        return self._reply(changes, position, reading.consistent)
 
-    def _reply(self, changes, position=0):
-        body = self._encode(Replica(list(changes), position, self.catalogue.misses))
+    def _reply(self, changes, position=0, consistent=False):
+        replica = Replica(list(changes), position, self.catalogue.misses, consistent)
+        body = self._encode(replica)
         content_type = b"application/msgpack"
         if len(body) < _compression.LARGE:
             return _endpoint.Reply(200, body, content_type)
@@ -190,7 +194,7 @@
         except (msgspec.DecodeError, _compression.CompressionError) as error:
             raise _knowledge.SourceError(f"unreadable answer: {error}") from error
         self._misses = replica.misses
-        return _knowledge.Reading(records, replica.position)
+        return _knowledge.Reading(records, replica.position, replica.consistent)
 
     def _record(self, change):
         if not change.base or change.value is None:
--- a/boragegw/platform/_store.py
+++ b/boragegw/platform/_store.py
@@ -79,7 +79,8 @@
             position = page.as_of if position is None else position
             records += [_record(item) for item in page.items]
             if not page.has_more or not page.items:
-                return gateway.Reading(records, position)
+                in_one_page = not after
+                return gateway.Reading(records, position, consistent=in_one_page)
             after = page.items[-1].key
 
     async def _page(self, path, tries):
