What a source has told is remembered by its process, once it is adopted

Seen: a follower that came back to a source it had left for a while got 410 and read all anew, though it had been told all.

Cause: the number of misses that a source last told lay in the client for its address, and a follower keeps one client: with another source it was gone.

Ruled out: remembering it by address alone; it counts from the start of a process, and its successor at the address may have missed as many other changes.

Mend: the catalogue remembers it by address and incarnation, when it adopts an answer; a watch states both, and the number counts as 0 for another incarnation.

The same elsewhere, worse than bytes: the number was noted when an answer arrived, also if that was then dropped for a quicker one, and it counted for the next process at the address. Either way a missed change never reached the follower.

The tests of the dropped answer and of the restarted process failed before and pass; a position that is too old is still refused.

--- a/boragegw/gateway/__init__.py
+++ b/boragegw/gateway/__init__.py
@@ -20,6 +20,7 @@
     Record,
     Source,
     SourceError,
+    Told,
 )
 from boragegw.gateway._membership import Membership
 from boragegw.gateway._metrics import CONTENT_TYPE, COUNTERS, Histogram, exposition
@@ -74,6 +75,7 @@
     "ServiceState",
     "Source",
     "SourceError",
+    "Told",
     "fingerprint",
     "path_of",
     "query_of",
--- a/boragegw/gateway/_catalogue.py
+++ b/boragegw/gateway/_catalogue.py
@@ -7,6 +7,9 @@
 from boragegw import balancing
 from boragegw.gateway import _compression, _history, _knowledge, _reports
 
+#: Processes of which it is remembered what they have told of their missed changes.
+TELLERS = 256
+
 
 class Catalogue:
     """Holds the records and writes what they mean to the board.
@@ -31,6 +34,7 @@
         self._records = {}
         self._previous = {}
         self._retained = {}
+        self._told = {}
         self._history = _history.History(log)
         self._reports = _reports.Reports()
         self._revision = 0
@@ -95,6 +99,18 @@
         """Return the one before a large ``record``, or ``None`` if it is not kept."""
         return self._previous.get(record.key)
 
+    def told(self, address):
+        """Return what the process at ``address`` has :class:`Told`, or ``None``."""
+        return self._told.get(address)
+
+    def _note_told(self, told):
+        if told is None:
+            return
+        self._told.pop(told.address, None)
+        self._told[told.address] = told
+        while len(self._told) > TELLERS:
+            del self._told[next(iter(self._told))]
+
     async def wait_for_change(self, timeout):
         """Wait until a record has changed, or ``timeout`` seconds have passed."""
         changed = asyncio.get_running_loop().create_future()
@@ -121,6 +137,7 @@
         self._keep_previous(before)
         self._position = reading.position
         self.generation += 1
+        self._note_told(reading.told)
         self._take_retained(record for record in reading.records if record.retained)
         self._finish()
         return True
@@ -154,6 +171,7 @@
         self._position = max(self._position, reading.position)
         self.generation += 1
         self._keep_previous(before)
+        self._note_told(reading.told)
         if reading.records or missed:
             self._finish()
 
--- a/boragegw/gateway/_knowledge.py
+++ b/boragegw/gateway/_knowledge.py
@@ -28,6 +28,20 @@
     retained: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Told:
+    """What another process had told of its missed changes when it was read.
+
+    :param address: ``(host, port)`` of the process.
+    :param incarnation: drawn at its start.
+    :param misses: see :attr:`~boragegw.gateway.Catalogue.misses`.
+    """
+
+    address: tuple
+    incarnation: int
+    misses: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reading:
     """What one read returned.
@@ -36,11 +50,13 @@
     :param position: revision up to which the reader now knows everything.
     :param consistent: a full reading that shows all as it was at ``position``. One in
         pages may also show later changes, and lack what was deleted later.
+    :param told: :class:`Told` if another process was read.
     """
 
     records: list
     position: int
     consistent: bool = False
+    told: Told | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/boragegw/gateway/_process.py
+++ b/boragegw/gateway/_process.py
@@ -151,7 +151,9 @@
         self.reconciler = _reconciliation.Reconciler(
             self.catalogue, self.membership, self._peer_source, **drawn
         )
-        self.replicas = _replication.ReplicaServer(self.catalogue, now=self.now)
+        self.replicas = _replication.ReplicaServer(
+            self.catalogue, now=self.now, incarnation=self.own.incarnation
+        )
         self.directory = _directory.DirectoryPolicy()
         self.catalogue.on_change = self._note_ready
         self.membership.on_crash = self.carrier.sender.observe_crash
--- a/boragegw/gateway/_replication.py
+++ b/boragegw/gateway/_replication.py
@@ -1,8 +1,8 @@
 """How processes pass on what the platform publishes: few bytes, prepared once for all.
 
 ``GET /v1/replica/records`` returns all records, ``GET /v1/replica/changes`` with
-``after``, ``misses`` and ``wait_ms`` those that have changed since, as soon as there
-are any. ``GET /v1/replica/retained`` returns those of which the store
+``after``, ``misses``, ``incarnation`` and ``wait_ms`` those that have changed since, as
+soon as there are any. ``GET /v1/replica/retained`` returns those of which the store
 holds an older form. The body is a :class:`Replica` in MessagePack; a large one is
 compressed, and a large record that changes goes as the difference to its last value.
 """
@@ -45,12 +45,14 @@
     """The body of an answer; ``position`` as in :class:`~boragegw.gateway.Reading`.
 
     :param misses: see :meth:`~boragegw.gateway.Catalogue.changes`.
+    :param incarnation: of the process that answers; ``misses`` counts from its start.
     :param consistent: as in :class:`~boragegw.gateway.Reading`.
     """
 
     changes: list[Change]
     position: int
     misses: int = 0
+    incarnation: int = 0
     consistent: bool = False
 
 
@@ -61,11 +63,13 @@
     followers that is what a change costs.
 
     :param catalogue: a :class:`~boragegw.gateway.Catalogue`.
+    :param incarnation: drawn at the start of this process.
     """
 
-    def __init__(self, catalogue, *, now):
+    def __init__(self, catalogue, *, now, incarnation=0):
         self.catalogue = catalogue
         self.now = now
+        self.incarnation = incarnation
         self._encode = msgspec.msgpack.Encoder().encode
         self._prepared = {}
         self._prepared_for = None
@@ -88,7 +92,7 @@
 
     async def _changes(self, query):
         after = int(query.get("after", "0"))
-        misses = int(query.get("misses", "0"))
+        misses = self._misses_told(query)
         end = self.now() + int(query.get("wait_ms", "0")) / 1000.0
         while True:
             try:
@@ -100,6 +104,11 @@
                 return reply
             await self.catalogue.wait_for_change(left)
 
+    def _misses_told(self, query):
+        """Return the follower's number of misses, 0 if another process told it."""
+        incarnation = int(query.get("incarnation", self.incarnation))
+        return int(query.get("misses", "0")) if incarnation == self.incarnation else 0
+
     def _prepare(self, after, misses=None):
         """Return the reply with what has changed after ``after``, or with all."""
         if self.catalogue.generation != self._prepared_for:
@@ -123,7 +132,8 @@
         return self._reply(changes, position, reading.consistent)
 
     def _reply(self, changes, position=0, consistent=False):
-        replica = Replica(list(changes), position, self.catalogue.misses, consistent)
+        misses = self.catalogue.misses
+        replica = Replica(list(changes), position, misses, self.incarnation, consistent)
         body = self._encode(replica)
         content_type = b"application/msgpack"
         if len(body) < _compression.LARGE:
@@ -156,7 +166,6 @@
         self.now = now
         self.counters = counters
         self._fetcher = _fetch.Fetcher(address, now, counters, "store.peer_reads")
-        self._misses = 0
         self._decode = msgspec.msgpack.Decoder(Replica).decode
 
     @property
@@ -171,7 +180,9 @@
     async def watch(self, after, wait):
         """Return the changes after the position ``after``."""
         path = f"{CHANGES}?after={after}&wait_ms={int(wait * 1000)}"
-        path += f"&misses={self._misses}"
+        told = self.catalogue.told(self.address)
+        if told is not None:
+            path += f"&misses={told.misses}&incarnation={told.incarnation}"
         return await self._read(path, wait + ANSWER_TIMEOUT)
 
     async def read_retained(self):
@@ -193,8 +204,8 @@
             records = [self._record(change) for change in replica.changes]
         except (msgspec.DecodeError, _compression.CompressionError) as error:
             raise _knowledge.SourceError(f"unreadable answer: {error}") from error
-        self._misses = replica.misses
-        return _knowledge.Reading(records, replica.position, replica.consistent)
+        told = _knowledge.Told(self.address, replica.incarnation, replica.misses)
+        return _knowledge.Reading(records, replica.position, replica.consistent, told)
 
     def _record(self, change):
         if not change.base or change.value is None:
--- a/boragegw/gateway/tests/test_history.py
+++ b/boragegw/gateway/tests/test_history.py
@@ -95,3 +95,66 @@
     assert not (await pair.client.read_all()).consistent
     pair.source.adopt_changes(gateway.Reading([], 5))
     assert (await pair.client.read_all()).consistent
+
+
+def missed_by(source):
+    """Let a source find at position 5 that it has missed a change of revision 4."""
+    source.adopt_changes(gateway.Reading([], 5))
+    value = test_replication.large(2)
+    record = gateway.Record(test_replication.KEY, value, 4)
+    source.adopt_snapshot(gateway.Reading([record], 5))
+
+
+def another_client(pair):
+    return gateway.PeerSource(
+        test_replication.SERVER,
+        pair.follower,
+        now=pair.loop.time,
+        counters=pair.counters,
+    )
+
+
+@in_memory
+async def test_follower_that_was_told_by_another_client_costs_few_bytes():
+    pair = await test_replication.Pair().start(test_replication.large())
+    missed_by(pair.source)
+    pair.follower.adopt_snapshot(await pair.client.read_all())
+    before = pair.counters["sources.bytes"]
+    for _ in range(3):
+        again = another_client(pair)
+        pair.follower.adopt_changes(await again.watch(pair.follower.position, 0.1))
+    used = pair.counters["sources.bytes"] - before
+    assert used < test_replication.CONTROL_BYTES
+
+
+@in_memory
+async def test_answer_that_was_not_taken_counts_as_not_told():
+    """A second source was quicker: the missed change would never be known here."""
+    pair = await test_replication.Pair().start(test_replication.large())
+    pair.source.adopt_changes(gateway.Reading([], 5))
+    await pair.follow()
+    missed_by(pair.source)
+    await pair.client.read_all()  # dropped
+    with pytest.raises(gateway.HistoryLostError):
+        await pair.client.watch(pair.follower.position, 0.1)
+
+
+@in_memory
+async def test_process_that_has_started_again_does_not_count_as_the_former_one():
+    """Both have missed one change; the follower was told of the former one's."""
+    pair = await test_replication.Pair().start(test_replication.large())
+    pair.server.incarnation = 7
+    missed_by(pair.source)
+    pair.follower.adopt_snapshot(await pair.client.read_all())
+    pair.server.incarnation = 8
+    with pytest.raises(gateway.HistoryLostError):
+        await pair.client.watch(pair.follower.position, 0.1)
+
+
+@in_memory
+async def test_position_that_is_too_old_is_refused():
+    pair = await test_replication.Pair().start(test_replication.large())
+    missed_by(pair.source)
+    pair.follower.adopt_snapshot(await pair.client.read_all())
+    with pytest.raises(gateway.HistoryLostError):
+        await pair.client.watch(4, 0.1)
