The catalogue is split: what is listed has a module of its own

Servers that join, change, are doubted and go are in _listings.py now; it plays the same but for one fault of the commit that let the newest report count: what another process tells of a server whose entry is away here, and that is still on the board, was noted as of one that is gone, and the older report, once it came, counted again. The test of it fails on the code before (in trouble) and passes.

utils.Recent is the one copy of a dictionary that drops its oldest entry, for deletions, last reports, digests and what sources have told.

--- a/boragegw/gateway/_catalogue.py
+++ b/boragegw/gateway/_catalogue.py
@@ -4,8 +4,14 @@
 import dataclasses
 import itertools
 
-from boragegw import balancing
-from boragegw.gateway import _compression, _history, _knowledge, _reports
+from boragegw import utils
+from boragegw.gateway import (
+    _compression,
+    _history,
+    _knowledge,
+    _listings,
+    _reports,
+)
 
 #: Processes of which it is remembered what they have told of their missed changes.
 TELLERS = 256
@@ -15,9 +21,8 @@
     """Holds the records and writes what they mean to the board.
 
     :param decoder: a :class:`Decoder`.
-    :param on_addresses_gone: called with addresses that are no longer listed.
-    :param on_joined: called with each :class:`~boragegw.balancing.Server` that is
-        listed after the first reading.
+    :param on_addresses_gone: see :class:`Listings`.
+    :param on_joined: the same.
     :ivar generation: grows with each reading that is adopted.
     """
 
@@ -26,20 +31,22 @@
         self.decoder = decoder
         self.now = now
         self.log = log
-        self.on_addresses_gone = on_addresses_gone
-        self.on_joined = on_joined
         self.on_change = None
-        self.trouble_at = float("-inf")
         self.generation = 0
         self._records = {}
         self._previous = {}
         self._retained = {}
-        self._told = {}
+        self._told = utils.Recent(TELLERS)
         self._history = _history.History(log)
-        self._reports = _reports.Reports()
+        self._listings = _listings.Listings(
+            board,
+            now=now,
+            log=log,
+            on_addresses_gone=on_addresses_gone,
+            on_joined=on_joined,
+        )
         self._revision = 0
         self._position = -1
-        self._doubted = {}
         self._waiting = set()
 
     @property
@@ -54,6 +61,15 @@
             return self._revision
         return max((r.revision for r in self._changed_after(0)), default=0)
 
+    @property
+    def trouble_at(self):
+        """Monotonic seconds at which the store had trouble last."""
+        return self._listings.trouble_at
+
+    @trouble_at.setter
+    def trouble_at(self, moment):
+        self._listings.trouble_at = moment
+
     @property
     def misses(self):
         """Times that changes were found which no watch had told."""
@@ -104,12 +120,8 @@
         return self._told.get(address)
 
     def _note_told(self, told):
-        if told is None:
-            return
-        self._told.pop(told.address, None)
-        self._told[told.address] = told
-        while len(self._told) > TELLERS:
-            del self._told[next(iter(self._told))]
+        if told is not None:
+            self._told.add(told.address, told)
 
     async def wait_for_change(self, timeout):
         """Wait until a record has changed, or ``timeout`` seconds have passed."""
@@ -190,25 +202,19 @@
         taken = 0
         for record in records:
             listing = self.decoder.listing(record)
-            if listing is not None:
-                taken += self._take_report(_reports.Report(record, listing))
+            if listing is None:
+                continue
+            if self._listings.learn(_reports.Report(record, listing)):
+                taken += 1
+                self._retain(record)
         return taken
 
-    def _take_report(self, report):
-        """Take a report that another process retains; return whether it is newer.
-
-        Of a server that is not listed here it is kept: the older one may yet come.
-        """
-        key = report.record.key
-        newest = self._reports.newest(key)
-        if newest is not None and not report.is_newer_than(newest):
-            return False
-        if key in self._records and key in self.board.servers:
-            revision = self._records[key].revision
-            self._apply(dataclasses.replace(report.record, revision=revision))
-        else:
-            self._reports.note_departed(report)
-        return True
+    def _retain(self, record):
+        """Keep a newer report in place of what the store holds, if it holds any."""
+        known = self._records.get(record.key)
+        if known is not None and record.key in self.board.servers:
+            record = dataclasses.replace(record, revision=known.revision)
+            self._records[record.key] = self._retained[record.key] = record
 
     def _apply(self, record):
         self._revision = max(self._revision, record.revision)
@@ -226,7 +232,7 @@
         self._records.pop(record.key, None)
         self._previous.pop(record.key, None)
         self._history.add_deletion(record)
-        self._remove(record.key)
+        self._listings.remove(record.key)
 
     def _keep_previous(self, before):
         """Keep what a reading has replaced if a difference to it may save much.
@@ -243,6 +249,10 @@
             if large and known is not None:
                 self._previous[key] = known
 
+    def settle(self):
+        """Drop the servers that stayed away after trouble with the store."""
+        self._listings.settle()
+
     def _finish(self):
         evacuated = {self.decoder.evacuated(r) for r in self._records.values()}
         evacuated.discard(None)
@@ -251,7 +261,7 @@
                 "evacuations", data_centres=sorted(evacuated), position=self._position
             )
             self.board.evacuated = frozenset(evacuated)
-        self._regroup()
+        self._listings.regroup()
         for changed in self._waiting:
             if not changed.done():
                 changed.set_result(None)
@@ -273,8 +283,8 @@
             return dataclasses.replace(known, revision=record.revision)
         listing = self.decoder.listing(record)
         if listing is not None:
-            return self._adopt_listing(record, listing)
-        self._remove(record.key)
+            return self._listings.adopt(record, listing, self._position < 0)
+        self._listings.remove(record.key)
         return record
 
     def _adopt_configuration(self, configuration, record, seconds):
@@ -298,99 +308,3 @@
             seconds=seconds,
         )
         return True
-
-    def _adopt_listing(self, record, listing):
-        """Take a server's entry, or the newer one that is known; return its record."""
-        self._doubted.pop(record.key, None)
-        report = self._reports.take(_reports.Report(record, listing))
-        if report.listing is not listing:
-            self._note_older(record, listing, report.listing)
-        server = self.board.servers.get(record.key)
-        if server is None or _has_restarted(server.listing, report.listing):
-            self._list(report)
-        elif report.listing is not server.listing:
-            self._update(server, report.listing, self.now())
-        return report.record
-
-    def _note_older(self, record, listing, known):
-        self.log.event(
-            "older-report",
-            server=known.identity,
-            revision=record.revision,
-            sequence=listing.sequence,
-            known=known.sequence,
-            draining=known.draining,
-        )
-
-    def _list(self, report):
-        listing = report.listing
-        server = balancing.Server(listing)
-        if listing.cold_for > 0:
-            server.cold_until = self.now() + listing.cold_for
-        self.board.servers[report.record.key] = server
-        if self._position >= 0:
-            self.on_joined(server)
-        self.log.event(
-            "server-listed",
-            server=listing.identity,
-            service=listing.service,
-            draining=listing.draining,
-            cold_for=listing.cold_for,
-            revision=report.record.revision,
-        )
-
-    def _update(self, server, listing, now):
-        if listing.draining != server.listing.draining:
-            self.log.event(
-                "server-draining", server=listing.identity, draining=listing.draining
-            )
-        if listing.cold_for > server.listing.cold_for:
-            server.cold_until = now + listing.cold_for
-        server.moved = False
-        server.listing = listing
-
-    def _remove(self, key):
-        server = self.board.servers.get(key)
-        if server is None or server.removed or key in self._doubted:
-            return
-        now = self.now()
-        if now - self.trouble_at < _knowledge.TROUBLE_MEMORY:
-            self._doubted[key] = now + _knowledge.LAPSE_GRACE
-            self.log.event("server-doubted", server=server.identity)
-            return
-        self._drop(key)
-
-    def _drop(self, key):
-        server = self.board.servers.pop(key)
-        self._reports.depart(key)
-        server.removed = True
-        self.log.event("server-gone", server=server.identity)
-
-    def settle(self):
-        """Drop the servers that stayed away after trouble with the store."""
-        now = self.now()
-        overdue = [key for key, until in self._doubted.items() if until <= now]
-        for key in overdue:
-            del self._doubted[key]
-            if key in self.board.servers:
-                self._drop(key)
-        if overdue:
-            self._regroup()
-
-    def _regroup(self):
-        groups = {}
-        addresses = set()
-        for server in self.board.servers.values():
-            groups.setdefault(server.listing.service, []).append(server)
-            addresses.add(server.listing.address)
-        before = {
-            server.listing.address
-            for servers in self.board.by_service.values()
-            for server in servers
-        }
-        self.board.by_service = groups
-        self.on_addresses_gone(before - addresses)
-
-
-def _has_restarted(known, listing):
-    return (known.address, known.started_ms) != (listing.address, listing.started_ms)
--- a/boragegw/gateway/_history.py
+++ b/boragegw/gateway/_history.py
@@ -1,5 +1,6 @@
 """What a process can tell those that follow it, and when they must read all anew."""
 
+from boragegw import utils
 from boragegw.gateway import _knowledge
 
 #: Deletions that are kept for other processes that follow this one. Of a record that
@@ -24,7 +25,7 @@
         self.misses = 0
         self.start = 0
         self.consistent = False
-        self._deleted = {}
+        self._deleted = utils.Recent(DELETIONS)
         self._unexplained = set()
         self._unexplained_at = -1
 
@@ -48,12 +49,9 @@
     # Deletions.
 
     def add_deletion(self, record):
-        """Keep a deletion and forget the oldest ones."""
-        # At the end, where the latest deletions stand.
-        self._deleted.pop(record.key, None)
-        self._deleted[record.key] = record
-        while len(self._deleted) > DELETIONS:
-            forgotten = self._deleted.pop(next(iter(self._deleted)))
+        """Keep a deletion; the oldest one may be forgotten for it."""
+        forgotten = self._deleted.add(record.key, record)
+        if forgotten is not None:
             self.start = max(self.start, forgotten.revision)
 
     def remove_deletion(self, key):
@@ -80,9 +78,7 @@
         if position < 0:
             self.start = reading.position
         if advanced:
-            # Followers are told of it like of any deletion.
-            for key in unexplained:
-                self.add_deletion(_knowledge.Record(key, None, reading.position))
+            self._date_deletions(unexplained, reading.position)
         seen_twice = not advanced and bool(unexplained)
         late = any(record.revision <= position for record in changed)
         if late or seen_twice or (lacking and reading.consistent):
@@ -91,6 +87,11 @@
             self._unexplained = lacking
             self._unexplained_at = reading.position
 
+    def _date_deletions(self, keys, position):
+        """Let followers be told that ``keys`` were deleted by ``position``."""
+        for key in keys:
+            self.add_deletion(_knowledge.Record(key, None, position))
+
     def judge_changes(self, reading, position):
         """Find out whether changes tell what a reading in pages lacked.
 
--- a/boragegw/gateway/_reconciliation.py
+++ b/boragegw/gateway/_reconciliation.py
@@ -9,6 +9,7 @@
 import math
 import zlib
 
+from boragegw import utils
 from boragegw.gateway import _knowledge
 
 #: Seconds between looks at what others retain.
@@ -43,7 +44,7 @@
         self.now = now
         self.random_state = random_state
         self.log = log
-        self._asked = {}
+        self._asked = utils.Recent(REMEMBERED)
         self._avoided = {}
 
     async def run(self):
@@ -87,12 +88,7 @@
         finally:
             source.close()
         taken = self.catalogue.adopt_retained(reading.records)
-        self._remember(member.retained)
+        self._asked.add(member.retained, True)
         self.log.event(
             "reconciled", peer=member.name, told=len(reading.records), taken=taken
         )
-
-    def _remember(self, asked):
-        self._asked[asked] = True
-        while len(self._asked) > REMEMBERED:
-            del self._asked[next(iter(self._asked))]
--- a/boragegw/gateway/_reports.py
+++ b/boragegw/gateway/_reports.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from boragegw import balancing
+from boragegw import balancing, utils
 from boragegw.gateway import _knowledge
 
 #: Servers that are gone whose last report is kept.
@@ -37,7 +37,7 @@
 
     def __init__(self):
         self._listed = {}
-        self._departed = {}
+        self._departed = utils.Recent(DEPARTED)
 
     def newest(self, key):
         """Return the newest :class:`Report` of the server ``key``, or ``None``."""
@@ -75,10 +75,10 @@
         if report is not None:
             self.note_departed(report)
 
+    def note_listed(self, report):
+        """Keep a newer report of a server that is listed."""
+        self._listed[report.record.key] = report
+
     def note_departed(self, report):
         """Keep the last report of a server that is not listed."""
-        key = report.record.key
-        self._departed.pop(key, None)
-        self._departed[key] = report
-        while len(self._departed) > DEPARTED:
-            del self._departed[next(iter(self._departed))]
+        self._departed.add(report.record.key, report)
--- a/boragegw/gateway/tests/test_catalogue.py
+++ b/boragegw/gateway/tests/test_catalogue.py
@@ -28,10 +28,10 @@
         self.kinds.append(kind)
 
 
-def catalogue():
+def catalogue(decoder=None):
     return gateway.Catalogue(
         gateway.Board(),
-        Decoder(),
+        decoder or Decoder(),
         now=lambda: 0.0,
         log=Lines(),
         on_addresses_gone=lambda addresses: None,
--- a/boragegw/platform/tests/test_delayed_reports.py
+++ b/boragegw/platform/tests/test_delayed_reports.py
@@ -1,10 +1,13 @@
 """A backend server's older report reaches the store after a newer one."""
 
 import asyncio
+import json
 
 import pytest
 
-from boragegw import standins
+from boragegw import gateway, standins
+from boragegw.gateway.tests import test_catalogue
+from boragegw.platform import _documents
 
 in_memory = standins.in_memory
 
@@ -168,3 +171,27 @@
     asked = [p.board.counters["store.peer_reads"] for p in processes]
     # A watch of the source lasts 20 s in the end; there were shorter ones before.
     assert all(b - a <= 5 for a, b in zip(before, asked, strict=True))
+
+
+def record(sequence, state, revision, retained=False):
+    entry = standins.WireBackend("i-0", ("host-i-0", 9000)).entry(
+        "app", state=state, seq=sequence
+    )
+    return gateway.Record(KEY, json.dumps(entry).encode(), revision, retained)
+
+
+@pytest.mark.parametrize("in_trouble", [True, False])
+def test_leaving_that_another_process_tells_of_a_missing_server_counts(in_trouble):
+    """Its entry was away here; what was told then was lost to the older report."""
+    source = test_catalogue.catalogue(
+        _documents.DocumentDecoder(test_catalogue.Lines())
+    )
+    source.adopt_snapshot(gateway.Reading([record(7, "ready", 1)], 1))
+    if in_trouble:
+        source.trouble_at = source.now()
+    source.adopt_changes(gateway.Reading([gateway.Record(KEY, None, 2)], 2))
+    assert (KEY in source.board.servers) == in_trouble
+    assert source.adopt_retained([record(9, "draining", 3, retained=True)]) == 1
+    source.adopt_changes(gateway.Reading([record(8, "ready", 3)], 3))
+    assert source.board.servers[KEY].listing.draining
+    assert [r.retained for r in source.snapshot().records] == [True]
--- a/boragegw/utils/__init__.py
+++ b/boragegw/utils/__init__.py
@@ -3,6 +3,7 @@
 from boragegw.utils._clock import Clock, LoopClock, ManualClock
 from boragegw.utils._hashing import rank, stable_hash
 from boragegw.utils._parameters import Interval, InvalidParameterError, Parameterized
+from boragegw.utils._recent import Recent
 from boragegw.utils._tasks import TaskSet
 from boragegw.utils._tokens import TokenBucket
 from boragegw.utils._virtual_time import VirtualTimeLoop, run_virtual
@@ -14,6 +15,7 @@
     "LoopClock",
     "ManualClock",
     "Parameterized",
+    "Recent",
     "TaskSet",
     "TokenBucket",
     "VirtualTimeLoop",
--- /dev/null
+++ b/boragegw/utils/tests/test_recent.py
@@ -0,0 +1,17 @@
+"""Dictionaries of limited size."""
+
+from boragegw import utils
+
+
+def test_entry_that_was_added_first_is_dropped():
+    recent = utils.Recent(2)
+    assert [recent.add(key, key.upper()) for key in "abc"] == [None, None, "A"]
+    assert recent == {"b": "B", "c": "C"}
+
+
+def test_entry_that_is_added_again_is_the_latest():
+    recent = utils.Recent(2)
+    for key in "aba":
+        recent.add(key, key)
+    assert recent.add("c", "c") == "b"
+    assert list(recent) == ["a", "c"]
