--- a/boragegw/platform/tests/test_stalled_answers.py
+++ b/boragegw/platform/tests/test_stalled_answers.py
@@ -6,6 +6,7 @@
 
 from boragegw import gateway, standins
 from boragegw.gateway import _delivery
+from boragegw.gateway.tests import test_front
 
 in_memory = standins.in_memory
 
@@ -159,3 +160,17 @@
     pauses = [0.1, 10.5]
     written = await delivered(pauses, give_up_after=1.0, writer=Writer(reads=False))
     assert written.count(b"y") == 2
+
+
+@pytest.mark.parametrize("leaving", ["eof_received", "connection_lost"])
+@in_memory
+async def test_caller_that_reads_no_more_and_leaves_is_noticed(leaving):
+    """Writing to it had to wait until its connection was lost."""
+    connection, _ = test_front.connect(test_front.Process())
+    connection.pause_writing()
+    writing = asyncio.create_task(connection.writable())
+    await asyncio.sleep(0.1)
+    assert not writing.done()
+    getattr(connection, leaving)(*([None] if leaving == "connection_lost" else []))
+    await asyncio.sleep(0.0)
+    await asyncio.wait_for(writing, 1.0)
