Tests reserve loopback ports that nothing else on the machine gets

Cause: test_configure_serve_recall_return_stop chose its ten ports by binding port 0 and closing the sockets again. Until its processes bound them, the kernel could give them to any other socket: "Address already in use", and an entry that never became ready within 30 s.

The checks of the test are as before.

Ruled out: a longer timeout (the port stays taken), retrying with other ports (the settings of the other processes name them), passing listening sockets (the command line that is under test opens its own).

--- a/boragegw/cli/tests/test_end_to_end.py
+++ b/boragegw/cli/tests/test_end_to_end.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -38,17 +37,6 @@
 TIMEOUT_SECONDS = 30.0
 
 
-def free_addresses(count):
-    """Return loopback addresses with free ports that the kernel assigned."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    addresses = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return addresses
-
-
 def wait_until(condition):
     end = time.monotonic() + TIMEOUT_SECONDS
     while not condition():
@@ -97,7 +85,8 @@
         self.documents = folder / "documents"
         self.processes = []
         self.backends = BackendThread()
-        addresses = free_addresses(10)
+        self.ports = standins.PortReservation()
+        addresses = self.ports.reserve(10)
         self.platform = addresses[0]
         self.entries = [addresses[1 + 3 * i : 4 + 3 * i] for i in range(3)]
 
@@ -165,6 +154,7 @@
                 process.kill()
             process.wait(TIMEOUT_SECONDS)
         self.backends.stop()
+        self.ports.release()
 
 
 @pytest.fixture
--- a/boragegw/standins/__init__.py
+++ b/boragegw/standins/__init__.py
@@ -27,6 +27,7 @@
 )
 from boragegw.standins._noisy_backend import NoisyBackend
 from boragegw.standins._platform import PublishedState, StandinPlatform
+from boragegw.standins._port_reservation import PortReservation
 from boragegw.standins._route_generator import generate_routes
 from boragegw.standins._virtual_backend import RunEvent, VirtualBackend, VirtualFaults
 from boragegw.standins._virtual_fleet import ServiceSpec, VirtualFleet
@@ -64,6 +65,7 @@
     "RunEvent",
     "ServiceSpec",
     "OutcomeShares",
+    "PortReservation",
     "StandinBackend",
     "StandinPlatform",
     "VirtualBackend",
