Large fleets probe each other and send changes instead of all states

Cause: each process sent its heartbeat and 24 states of others to 16 random processes each 0.5 s, 12 of them in other data centres. Every state had to reach every process within 3 s by chance, so that the rate needed grows with the fleet.

Now, above 24 processes, a state is not repeated at all. A process is live until one that probes it reports that it does not reply, and it does not object. Each probes two fixed and two random ones of its data centre, one elsewhere and the one that it follows; changes go to all of the data centre and to two relays in each other one; gaps that lost datagrams leave are repaired by requests at a constant rate. Small fleets are unchanged. A former build gets heartbeats from all and is probed by heartbeats.

Failed on the way: ages counted from the first unanswered probe (evidence from before the third one cleared a suspicion of a process that was dead, seen for 3 s after a partition); one probe for each retry (19 of 177,637 pairs out of sight in a roll); the seeds telling of new processes (0.66 MB/s at a seed); dropping what does not fit at once.

--- a/benchmarks/_rollout_replica.py
+++ b/benchmarks/_rollout_replica.py
@@ -70,6 +70,9 @@
         """Return the greatest revision that any process knew ``delay`` seconds ago."""
         return self.gossip.delayed_view(self.delay)[1]
 
+    def watch(self, name):
+        """Do nothing: the simulated gossip delays all changes alike."""
+
     def announce(self):
         """Do nothing: the simulated gossip reads the member's state itself."""
 
--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -156,6 +156,7 @@
     async def _read(self, name):
         source = self._source(name)
         self._source_name = name
+        self.membership.watch(name)
         self._read_started_at = self.now()
         try:
             if self._must_reread:
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -20,8 +20,8 @@
     _server_selector,
 )
 
-#: Seconds between checks of the sources of published records, and between checks for
-#: expired idle connections.
+#: Seconds between checks of the sources of published records and for news of the fleet,
+#: and between checks for expired idle connections.
 SOURCE_CHECK_INTERVAL = 0.1
 IDLE_CHECK_INTERVAL = 2.0
 #: Shares of the shutdown timeout. After the first share the listeners close, and by the
@@ -145,6 +145,7 @@
             peer_address=_join_address(settings.peer_address),
             link_mbps=settings.link_mbps,
             replica_format=_peer_messages.REPLICA_FORMAT,
+            membership_format=_peer_messages.MEMBERSHIP_FORMAT,
         )
         self.membership = _membership.Membership(
             self.board, self.local_member, self._seed_addresses, **randomized
@@ -259,7 +260,7 @@
             )
         )
         self._start_task(
-            self._run_periodically(SOURCE_CHECK_INTERVAL, self.follower.check)
+            self._run_periodically(SOURCE_CHECK_INTERVAL, self._check_fleet)
         )
         self._start_task(
             self._run_periodically(IDLE_CHECK_INTERVAL, self.selector.sweep)
@@ -285,6 +286,10 @@
             await asyncio.sleep(interval)
             action()
 
+    def _check_fleet(self):
+        self.follower.check()
+        self.membership.send_news()
+
     def _announce_ready(self):
         if self.board.ready and self.local_member.life == _peer_messages.Life.STARTING:
             self.local_member.life = _peer_messages.Life.READY
--- a/boragegw/gateway/_membership.py
+++ b/boragegw/gateway/_membership.py
@@ -1,77 +1,58 @@
 """Membership of the fleet of gateway processes, by heartbeats and gossip over UDP."""
 
 import asyncio
+import math
 import random
 
 import msgspec
 
-from boragegw.gateway import _peer_messages
+from boragegw.gateway import (
+    _composer,
+    _failure_detector,
+    _news,
+    _peer_messages,
+    _roster,
+)
 
-#: Seconds between heartbeats.
+#: Seconds between heartbeats, or rounds of probes.
 HEARTBEAT_INTERVAL_SECONDS = 0.5
-#: Seconds without a heartbeat after which a process is considered gone. A link that
-#: loses 3% of its packets loses three heartbeats in a row once in 37,000 times.
-SILENCE_TIMEOUT_SECONDS = 2.0
-#: Silence timeout in a fleet of more than :data:`FANOUT` processes, where heartbeats
-#: arrive through other processes. With 2 s, 4 in 10,000 live processes were considered
-#: gone at any moment.
-LARGE_FLEET_SILENCE_TIMEOUT_SECONDS = 3.0
-#: Seconds for which a silent process is still counted as possibly alive.
-FORGET_AFTER_SECONDS = 30.0
+#: Seconds between checks for news to send.
+NEWS_INTERVAL_SECONDS = 0.1
 #: Seconds after the start in which other processes may not have been heard yet, and the
 #: fleet size that is assumed until then. Guards against a fleet that starts all at
 #: once, as after a power loss: each process would use the whole retry budget and the
 #: whole rate of each cold server for itself.
 DISCOVERY_SECONDS = 2.0
 ASSUMED_FLEET_SIZE = 24
-#: Maximum number of processes that each heartbeat is sent to directly. In a larger
-#: fleet, state spreads by gossip in a few hops.
-FANOUT = 24
-#: Gossiped members in a heartbeat. A process that knows the whole fleet gets one. A new
-#: process gets as many as fit into 1,200 bytes, and so does every process in a fleet
-#: larger than :data:`FANOUT`. New members are gossiped first, to all processes.
-GOSSIP_ENTRIES = 1
-MAX_GOSSIP_ENTRIES = 8
-#: In a fleet larger than :data:`FANOUT`: targets of each heartbeat, targets in each
-#: other data centre, updates of other processes in each heartbeat, and heartbeats per
-#: one that goes to the seeds. Traffic between data centres is expensive, and state that
-#: has reached a data centre spreads inside it.
-LARGE_FLEET_FANOUT = 16
-LARGE_FLEET_REMOTE_FANOUT = 3
-LARGE_FLEET_UPDATES = 24
-LARGE_FLEET_SEED_BEATS = 4
-#: Seconds for which a process counts as new.
-NEWCOMER_SECONDS = 3.0
 #: One in this many heartbeats to an informed process is a full one, the others are
 #: compact. 13 processes then send 14 KB/s together instead of 31.
 FULL_HEARTBEAT_BEATS = 4
-
-
-class KnownPeer:
-    """Another process of the fleet.
-
-    :param heard_at: monotonic seconds at which it sent its last known state.
-    :param known_since: monotonic seconds at which it came into sight.
-    """
-
-    __slots__ = ("heard_at", "known_since", "member")
-
-    def __init__(self, member, heard_at, known_since):
-        self.member = member
-        self.heard_at = heard_at
-        self.known_since = known_since
+#: In a large fleet: heartbeats per one that goes to the seeds and to processes that
+#: know only heartbeats.
+SEED_BEATS = 4
+HEARTBEAT_ONLY_BEATS = 2
+#: Heartbeats after the start with which a process introduces itself to a large fleet.
+INTRODUCTION_BEATS = (2, 4)
+#: Growth of the roster after which a new process requests all members once more.
+REQUEST_GROWTH = 1.125
+#: Maximum number of unknown processes that are requested at once.
+MAX_REQUESTED_MEMBERS = 32
+#: Updates a second that a process requests to repair what it has missed: while nothing
+#: changes in the fleet, and otherwise. An update takes 20 bytes.
+CALM_SYNCHRONIZATION_RATE = 40.0
+SYNCHRONIZATION_RATE = 160.0
 
 
 class Membership(asyncio.DatagramProtocol):
-    """Sends and receives heartbeats, and keeps the list of live processes.
+    """Sends and receives heartbeats and probes, and keeps the roster of processes.
 
-    A process is live until :data:`SILENCE_TIMEOUT_SECONDS` have passed without a
-    heartbeat from it.
+    In a small fleet each process sends a heartbeat to all others twice a second. In a
+    large one it probes a few others, and only changes are sent to all: directly inside
+    the data centre, and through a few relays to the other data centres.
 
     :param local_member: this process's :class:`Member`, updated by its owner.
     :param seeds: function that returns the ``(host, port)`` pairs of the seeds.
     :ivar on_crash: called with the fingerprint of each :class:`CrashNotice`.
-    :ivar on_change: called after the state of another process may have changed.
     """
 
     def __init__(self, board, local_member, seeds, *, now, log, random_state=None):
@@ -82,21 +63,36 @@
         self.log = log
         self.random_state = random_state or random.Random()
         self.on_crash = None
-        self.on_change = None
-        self._known = {}
-        self._by_incarnation = {}
+        self.roster = _roster.Roster(local_member, now=now, log=log)
+        self.detector = _failure_detector.FailureDetector(
+            self.roster, now=now, random_state=self.random_state
+        )
+        self._composer = _composer.Composer(
+            self.roster, now=now, random_state=self.random_state
+        )
+        self._fleet_news = _news.NewsQueue()
+        self._local_news = _news.NewsQueue()
+        self._published = self._own_state()
+        self._requested_size = 0
+        self._synchronized_at = -math.inf
         self._started_at = now()
         board.processes = ASSUMED_FLEET_SIZE
-        self._silent = set()
         self._transport = None
         self._encode = msgspec.msgpack.Encoder().encode
         self._decode = msgspec.msgpack.Decoder(_peer_messages.Datagram).decode
+        self._handlers = {
+            _peer_messages.CrashNotice: self._handle_crash,
+            _peer_messages.UpdateBatch: self._handle_updates,
+            _peer_messages.Heartbeat: self._handle_heartbeat,
+            _peer_messages.Exchange: self._handle_exchange,
+            _peer_messages.MemberRequest: self._handle_request,
+        }
 
     # Queries.
 
     def alive(self):
         """Return the :class:`Member` of each other live process."""
-        return [k.member for k in self._live_peers()]
+        return [k.member for k in self.roster.alive()]
 
     def ready(self):
         """Return the members that accept requests, including this one if it does."""
@@ -109,6 +105,10 @@
         """Return the greatest revision that another live process knows."""
         return max((m.revision for m in self.alive()), default=0)
 
+    def watch(self, name):
+        """Probe the process ``name`` often, or none if ``None``."""
+        self.detector.watched_name = name
+
     # Sending.
 
     def connection_made(self, transport):
@@ -116,119 +116,217 @@
         self._transport = transport
 
     def tick(self):
-        """Send a heartbeat; to be called every :data:`HEARTBEAT_INTERVAL_SECONDS`."""
+        """Send heartbeats or probes.
+
+        To be called every :data:`HEARTBEAT_INTERVAL_SECONDS`.
+        """
         self.local_member.beat += 1
-        self._expire_silent()
-        introduction = self._heartbeat(MAX_GOSSIP_ENTRIES)
-        is_full = self.local_member.beat % FULL_HEARTBEAT_BEATS == 0
-        regular = self._heartbeat(GOSSIP_ENTRIES) if is_full else self._update_batch()
-        informed = self._informed_addresses()
-        for address in self._targets():
-            self._send(address, regular if address in informed else introduction)
+        self.roster.expire()
+        if not self._is_new:
+            self.roster.told_size = 0
+        if self.roster.is_large:
+            self._send_probes()
+        else:
+            self._send_heartbeats()
+        self._publish()
 
     def announce(self):
-        """Send a heartbeat to all live processes at once, as on a planned stop."""
+        """Send the own state to all live processes at once, as on a planned stop."""
         self.local_member.beat += 1
-        beat = self._heartbeat(GOSSIP_ENTRIES)
-        for member in self.alive():
-            self._send(_split_address(member.peer_address), beat)
+        if self.roster.is_large:
+            self._fleet_news.add_own(self._is_new)
+            self.send_news()
+            self._send_to_heartbeat_only(self._heartbeat(_composer.GOSSIP_ENTRIES))
+            return
+        beat = self._heartbeat(_composer.GOSSIP_ENTRIES)
+        for known in self.roster.alive():
+            self._send(known.address, beat)
+
+    def send_news(self):
+        """Send queued changes, if any.
+
+        To be called every :data:`NEWS_INTERVAL_SECONDS`.
+        """
+        has_news = self._local_news or self._fleet_news
+        if not has_news or not self.roster.is_large:
+            return
+        alive = self.roster.alive()
+        own = self.local_member.data_centre
+        local = [k for k in alive if k.member.data_centre == own]
+        if self._local_news:
+            for message in self._local_news.take_messages(
+                self.local_member, self.now()
+            ):
+                self._send_exchange(local, message)
+        if not self._fleet_news:
+            return
+        relays = _news.select_relays(alive, own, self.random_state)
+        for message in self._fleet_news.take_messages(self.local_member, self.now()):
+            self._send_exchange(local, message)
+            message.purpose = _peer_messages.Purpose.RELAY
+            self._send_exchange(relays, message)
 
     def broadcast_crash(self, fingerprint):
         """Report to all live processes that a request crashed a backend server."""
         datagram = self._encode(_peer_messages.CrashNotice(fingerprint))
-        for member in self.alive():
-            self._send(_split_address(member.peer_address), datagram)
-
-    def _live_peers(self):
-        oldest = self.now() - self._silence_timeout
-        return [k for k in self._known.values() if k.heard_at >= oldest]
+        for known in self.roster.alive():
+            self._send(known.address, datagram)
 
     @property
-    def _silence_timeout(self):
-        return (
-            SILENCE_TIMEOUT_SECONDS
-            if len(self._known) <= FANOUT
-            else LARGE_FLEET_SILENCE_TIMEOUT_SECONDS
+    def _is_new(self):
+        return self.now() < self._started_at + _composer.NEWCOMER_SECONDS
+
+    # Sending in a small fleet.
+
+    def _send_heartbeats(self):
+        introduction = self._heartbeat(_composer.MAX_GOSSIP_ENTRIES)
+        is_full = self.local_member.beat % FULL_HEARTBEAT_BEATS == 0
+        regular = (
+            self._heartbeat(_composer.GOSSIP_ENTRIES)
+            if is_full
+            else self._encode(self._composer.compact_heartbeat())
         )
+        informed = self._informed_addresses()
+        for address in self._targets():
+            self._send(address, regular if address in informed else introduction)
 
-    def _newcomers(self, live_peers):
-        oldest = self.now() - NEWCOMER_SECONDS
-        return [k for k in live_peers if k.known_since > oldest]
+    def _targets(self):
+        targets = {known.address for known in self.roster.alive()}
+        # Seeds are contacted forever: after a partition in which both sides have
+        # forgotten each other, only the seeds reconnect them.
+        targets.update(self.seeds())
+        targets.discard(_roster.split_address(self.local_member.peer_address))
+        return sorted(targets)
 
     def _informed_addresses(self):
         """Return the addresses of processes that certainly know the whole fleet."""
-        if self.now() < self._started_at + NEWCOMER_SECONDS:
+        if self._is_new:
             return set()
-        live_peers = self._live_peers()
-        newcomers = self._newcomers(live_peers)
-        return {
-            _split_address(k.member.peer_address)
-            for k in live_peers
-            if k not in newcomers
-        }
+        live_peers = self.roster.alive()
+        newcomers = self._composer.newcomers(live_peers)
+        return {k.address for k in live_peers if k not in newcomers}
+
+    def _heartbeat(self, limit):
+        return self._encode(self._composer.heartbeat(limit))
+
+    # Sending in a large fleet.
+
+    def _send_probes(self):
+        self._queue_own_change()
+        if self._is_new:
+            self._request_all_members()
+        targets, silent = self.detector.start_round()
+        for known, silent_since in silent:
+            if self.roster.suspect(known, silent_since):
+                self._fleet_news.add_suspicion(known)
+        for known in targets:
+            self._send(known.address, self._probe_for(known))
+        self._synchronize()
+        self._contact_seeds()
+        if self.local_member.beat % HEARTBEAT_ONLY_BEATS == 0:
+            is_full = self.local_member.beat % FULL_HEARTBEAT_BEATS == 0
+            self._send_to_heartbeat_only(
+                self._heartbeat(0)
+                if is_full
+                else self._encode(self._composer.compact_heartbeat())
+            )
+        self.send_news()
+
+    def _queue_own_change(self):
+        state = self._own_state()
+        if state != self._published or self.local_member.beat in INTRODUCTION_BEATS:
+            self._published = state
+            self._fleet_news.add_own(self._is_new)
+
+    def _own_state(self):
+        """Return what all other processes should know at once if it changes."""
+        own = self.local_member
+        return own.life, own.reads_store, own.watches_store, bool(own.revision)
+
+    def _probe_for(self, known):
+        if _is_heartbeat_only(known):
+            return self._encode(self._composer.heartbeat(0, wants_reply=True))
+        return self._encode_exchange(_peer_messages.Purpose.PROBE)
+
+    def _encode_exchange(self, purpose):
+        exchange = self._composer.exchange(purpose)
+        exchange.processes = self.board.processes
+        return self._encode(exchange)
+
+    def _request_all_members(self):
+        """Request all members from a process nearby, as long as their number grows."""
+        alive = self.roster.alive()
+        if len(alive) <= REQUEST_GROWTH * self._requested_size:
+            return
+        if not self._requested_size:
+            self._fleet_news.add_own(is_new=True)
+        self._requested_size = len(alive)
+        self._request_from_one()
 
-    def _update_batch(self):
-        """Return a compact heartbeat, in a large fleet with updates of other processes.
+    def _synchronize(self):
+        """Request updates of all processes from one nearby, from time to time.
 
-        A large fleet's heartbeat is sent to :data:`LARGE_FLEET_FANOUT` processes only.
-        They pass the update on to the others.
+        Repairs what lost datagrams have left: news reach all others, but each of them
+        only with the probability that the links allow.
         """
         now = self.now()
-        updates = [_update_of(self.local_member, 0.0)]
-        live_peers = self._live_peers()
-        if len(live_peers) > FANOUT:
-            chosen = self._sample(live_peers, LARGE_FLEET_UPDATES)
-            updates += [_update_of(k.member, now - k.heard_at) for k in chosen]
-        return self._encode(_peer_messages.UpdateBatch(updates))
-
-    def _heartbeat(self, limit):
-        """Return a full heartbeat that gossips up to ``limit`` members, new ones first.
+        if now < self._synchronized_at + self._synchronization_seconds:
+            return
+        self._synchronized_at = now
+        self._request_from_one(only_updates=True)
 
-        Up to :data:`MAX_GOSSIP_ENTRIES` new members are included whatever the limit.
+    @property
+    def _synchronization_seconds(self):
+        if self._is_new:
+            return 2 * HEARTBEAT_INTERVAL_SECONDS
+        view = self._composer.current_view()
+        is_calm = not view.recent and not view.suspected
+        rate = CALM_SYNCHRONIZATION_RATE if is_calm else SYNCHRONIZATION_RATE
+        return len(view.alive) / rate
+
+    def _request_from_one(self, only_updates=False):
+        """Request members from a process of the own data centre, if one is known.
+
+        A new process requests updates from any: if its whole data centre has started
+        at the same time, the others there do not know more.
         """
-        now = self.now()
-        live_peers = self._live_peers()
-        self.random_state.shuffle(live_peers)
-        newcomers = self._newcomers(live_peers)[:MAX_GOSSIP_ENTRIES]
-        others = [k for k in live_peers if k not in newcomers]
-        chosen = newcomers + others[: max(0, limit - len(newcomers))]
-        gossip = [
-            _peer_messages.GossipedMember(k.member, round(now - k.heard_at, 3))
-            for k in chosen
-        ]
-        wants_reply = not live_peers
-        return self._encode(
-            _peer_messages.Heartbeat(self.local_member, gossip, wants_reply)
+        view = self._composer.list_view()
+        is_any = not view.local or (self._is_new and only_updates)
+        for known in self._composer.sample(view.alive if is_any else view.local, 1):
+            self._request_members(known.address, [], only_updates)
+
+    def _request_members(self, address, incarnations, only_updates=False):
+        request = _peer_messages.MemberRequest(
+            self.local_member, incarnations, only_updates
         )
+        self._send(address, self._encode(request))
 
-    def _targets(self):
-        alive = self.alive()
-        is_large = len(alive) > FANOUT
-        if is_large and self.now() < self._started_at + NEWCOMER_SECONDS:
-            alive = self.random_state.sample(alive, FANOUT)
-        elif is_large:
-            alive = self._sample_by_data_centre(alive)
-        targets = {_split_address(member.peer_address) for member in alive}
-        # Seeds are contacted forever: after a partition in which both sides have
-        # forgotten each other, only the seeds reconnect them.
-        if not is_large or self.local_member.beat % LARGE_FLEET_SEED_BEATS == 0:
-            targets.update(self.seeds())
-        targets.discard(_split_address(self.local_member.peer_address))
-        return targets
-
-    def _sample_by_data_centre(self, members):
-        """Return the targets of a heartbeat in a large fleet, mostly near ones."""
-        groups = {}
-        for member in members:
-            groups.setdefault(member.data_centre, []).append(member)
-        near = groups.pop(self.local_member.data_centre, [])
-        chosen = []
-        for group in groups.values():
-            chosen += self._sample(group, LARGE_FLEET_REMOTE_FANOUT)
-        return chosen + self._sample(near, max(0, LARGE_FLEET_FANOUT - len(chosen)))
-
-    def _sample(self, members, limit):
-        return self.random_state.sample(members, min(len(members), limit))
+    def _contact_seeds(self):
+        """Send a heartbeat to the seeds that are not in sight.
+
+        After a partition in which both sides have forgotten each other, only the seeds
+        reconnect them.
+        """
+        if self.local_member.beat % SEED_BEATS and not self._is_new:
+            return
+        in_sight = {known.address for known in self.roster.alive()}
+        in_sight.add(_roster.split_address(self.local_member.peer_address))
+        heartbeat = self._heartbeat(_composer.GOSSIP_ENTRIES)
+        for address in self.seeds():
+            if address not in in_sight:
+                self._send(address, heartbeat)
+
+    def _send_to_heartbeat_only(self, datagram):
+        """Send to the processes that consider one without heartbeats gone."""
+        for known in self.roster.alive():
+            if _is_heartbeat_only(known):
+                self._send(known.address, datagram)
+
+    def _send_exchange(self, targets, message):
+        datagram = self._encode(message)
+        for known in targets:
+            if not _is_heartbeat_only(known):
+                self._send(known.address, datagram)
 
     def _send(self, address, datagram):
         if self._transport is not None and not self._transport.is_closing():
@@ -244,145 +342,156 @@
         except (msgspec.DecodeError, msgspec.ValidationError):
             self.board.counters["peers.datagrams_dropped"] += 1
             return
-        if isinstance(message, _peer_messages.CrashNotice):
-            if self.on_crash is not None:
-                self.on_crash(message.fingerprint)
-            return
-        if isinstance(message, _peer_messages.UpdateBatch):
-            for update in message.updates:
-                self._apply_update(update)
-            self._publish()
-            return
-        self._apply_member(message.sender, self.now(), direct=True)
-        for entry in message.gossip:
-            self._apply_member(
-                entry.member, self.now() - max(0.0, entry.age), direct=False
-            )
-        if message.wants_reply:
-            self._send(
-                _split_address(message.sender.peer_address),
-                self._heartbeat(MAX_GOSSIP_ENTRIES),
-            )
-        self._publish()
-
-    def _apply_update(self, update):
-        """Update a known process.
-
-        The update of an unknown process is ignored. That process sends a full heartbeat
-        within two seconds.
-        """
-        known = self._by_incarnation.get(update.incarnation)
-        if known is None or update.beat <= known.member.beat:
-            return
-        known.member = msgspec.structs.replace(
-            known.member,
-            beat=update.beat,
-            life=update.life,
-            revision=update.revision,
-            reads_store=update.reads_store,
-            watches_store=update.watches_store,
-            retained=update.retained,
-        )
-        self._mark_heard(known, self.now() - max(0, update.age_ms) / 1000)
-
-    def _mark_heard(self, known, heard_at):
-        """Record when a process was heard; one that returns into sight counts as new.
-
-        Guards against a slow return after a partition. Processes that are not in
-        contact with the returning one learn of it by gossip, which sends new members
-        first. With random gossip, a process was back in sight of all others only 7 s
-        after a partition of 3 s.
-        """
-        now = self.now()
-        if known.heard_at < now - self._silence_timeout:
-            known.known_since = now
-        known.heard_at = heard_at
+        self.roster.mark_heard()
+        self._handlers[type(message)](message, addr)
 
     def error_received(self, exc):
         """Count an ICMP error; the next heartbeat is sent regardless."""
         self.board.counters["peers.send_errors"] += 1
 
-    def _apply_member(self, member, heard_at, direct):
-        """Apply the state of a process if it is newer than the known one.
+    def _handle_crash(self, message, addr):
+        if self.on_crash is not None:
+            self.on_crash(message.fingerprint)
 
-        Guards against resurrecting a terminated process: gossip about it can arrive
-        after its successor's first heartbeat. The age of that gossip only grows, so it
-        is older than the known state and is dropped.
+    def _handle_updates(self, message, addr):
+        for index, update in enumerate(message.updates):
+            self._apply_update(update, is_sender=index == 0)
+        self._reply_to_heartbeat(addr)
+        self._publish()
 
-        :param direct: the state comes from the process itself and not by gossip.
-        """
-        if member.name == self.local_member.name:
-            return
-        known = self._known.get(member.name)
-        if known is not None:
-            same = known.member.incarnation == member.incarnation
-            if same and member.beat <= known.member.beat:
-                return
-            if (
-                not same
-                and not direct
-                and heard_at <= known.heard_at + HEARTBEAT_INTERVAL_SECONDS
-            ):
-                return
-        if known is None or known.member.incarnation != member.incarnation:
-            self.log.event("peer-seen", peer=member.name, life=member.life)
-            self._remove(member.name)
-            known = KnownPeer(member, heard_at, self.now())
-            self._known[member.name] = known
-            self._by_incarnation[member.incarnation] = known
-            return
-        known.member = member
-        self._mark_heard(known, heard_at)
+    def _handle_heartbeat(self, message, addr):
+        self._apply_sender(message.sender)
+        self._apply_gossip(message.gossip)
+        if message.wants_reply:
+            self._reply_to_new_process(message.sender)
+        else:
+            self._reply_to_heartbeat(addr)
+        self._publish()
 
-    def _remove(self, name):
-        known = self._known.pop(name, None)
-        if known is not None:
-            self._by_incarnation.pop(known.member.incarnation, None)
+    def _reply_to_new_process(self, sender):
+        address = _roster.split_address(sender.peer_address)
+        if self.roster.is_large and sender.membership_format:
+            members = self._composer.introduced_members(sender.data_centre)
+            self._send_all(address, self._composer.full_members(members))
+        else:
+            self._send(address, self._heartbeat(_composer.MAX_GOSSIP_ENTRIES))
 
-    def _expire_silent(self):
-        now = self.now()
-        silent = {
-            n
-            for n, k in self._known.items()
-            if now - k.heard_at > self._silence_timeout
-        }
-        for name in silent - self._silent:
-            self.log.event("peer-silent", peer=name)
-        self._silent = silent
-        for name in list(self._known):
-            if now - self._known[name].heard_at > FORGET_AFTER_SECONDS:
-                self._remove(name)
-        self._publish()
+    def _reply_to_heartbeat(self, addr):
+        """Reply to a process that takes the fleet for a small one.
+
+        It expects heartbeats from all processes.
+        """
+        if self.roster.is_large:
+            self._send(addr, self._encode_exchange(_peer_messages.Purpose.NOTICE))
+
+    def _handle_exchange(self, message, addr):
+        if self._is_new:
+            self._apply_size(message.processes)
+        relays = message.purpose == _peer_messages.Purpose.RELAY
+        self._apply_gossip(message.members, relays)
+        self._apply_exchanged_updates(message, addr)
+        self._apply_suspicions(message.suspicions, relays)
+        if self._is_new and not self._requested_size:
+            self._request_all_members()
+        if message.purpose == _peer_messages.Purpose.PROBE:
+            self._send(addr, self._encode_exchange(_peer_messages.Purpose.REPLY))
+
+    def _apply_size(self, processes):
+        """Apply the size of the fleet that another process reports to a new one."""
+        if processes > self.roster.told_size:
+            self.roster.told_size = processes
+            self._publish()
+
+    def _apply_exchanged_updates(self, message, addr):
+        unknown = []
+        for index, update in enumerate(message.updates):
+            known = self.roster.find(update.incarnation)
+            if known is not None:
+                if index == 0 or update.beat > known.member.beat:
+                    self._apply_exchanged_update(
+                        known, update, message.purpose, index == 0
+                    )
+            elif update.incarnation != self.local_member.incarnation:
+                unknown.append(update.incarnation)
+        if unknown:
+            self._request_members(addr, unknown[:MAX_REQUESTED_MEMBERS])
+
+    def _apply_exchanged_update(self, known, update, purpose, is_sender):
+        """Apply one update, and pass it on if others may not get it otherwise.
+
+        A process that sends its state to the whole fleet needs relays. One that others
+        consider gone does not know it, so that those report its return which hear of it
+        by a probe.
+        """
+        changed_at = known.changed_at
+        returned = self._apply_update(update, is_sender)
+        if purpose == _peer_messages.Purpose.RELAY:
+            if is_sender or known.changed_at != changed_at:
+                self._local_news.add_update(known)
+        elif purpose != _peer_messages.Purpose.NOTICE and is_sender and returned:
+            self._fleet_news.add_update(known)
+
+    def _handle_request(self, message, addr):
+        self._apply_sender(message.sender)
+        if message.only_updates:
+            messages = self._composer.all_updates()
+        elif message.incarnations:
+            found = map(self.roster.find, message.incarnations)
+            members = [known for known in found if known is not None]
+            is_own = self.local_member.incarnation in message.incarnations
+            messages = self._composer.full_members(members, is_own)
+        else:
+            messages = self._composer.full_members(self.roster.alive())
+        self._send_all(addr, messages)
+
+    def _send_all(self, address, messages):
+        for message in messages:
+            message.processes = self.board.processes
+            self._send(address, self._encode(message))
+
+    def _apply_sender(self, member):
+        """Apply the state of a sender, and report one that has returned to the fleet.
+
+        A new process introduces itself.
+        """
+        self.detector.mark_reply(member.incarnation)
+        known = self.roster.apply_member(member, self.now(), direct=True)
+        if known is not None and member.beat > max(INTRODUCTION_BEATS):
+            self._fleet_news.add_member(known)
+
+    def _apply_gossip(self, gossip, relays=False):
+        for entry in gossip:
+            heard_at = self.now() - max(0.0, entry.age)
+            known = self.roster.apply_member(entry.member, heard_at, direct=False)
+            if known is not None and relays:
+                self._local_news.add_member(known)
+
+    def _apply_update(self, update, is_sender):
+        """Apply an update; return whether its process has returned into sight."""
+        if is_sender:
+            self.detector.mark_reply(update.incarnation)
+        heard_at = self.now() - max(0, update.age_ms) / 1000
+        return self.roster.apply_update(update, heard_at, is_sender) is not None
+
+    def _apply_suspicions(self, suspicions, relays):
+        for suspicion in suspicions:
+            if suspicion.incarnation == self.local_member.incarnation:
+                self._fleet_news.add_own()
+                continue
+            known = self.roster.find(suspicion.incarnation)
+            silent_since = self.now() - suspicion.silent_ms / 1000
+            if known is None or not self.roster.suspect(known, silent_since):
+                continue
+            if relays:
+                self._local_news.add_suspicion(known)
 
     def _publish(self):
-        now = self.now()
-        maybe_alive = (
-            1
-            for k in self._known.values()
-            if k.member.life != _peer_messages.Life.LEAVING
-            or now - k.heard_at < self._silence_timeout
-        )
-        known = 1 + sum(maybe_alive)
-        if now < self._started_at + DISCOVERY_SECONDS:
+        known = self.roster.possibly_alive()
+        if self.now() < self._started_at + DISCOVERY_SECONDS:
             known = max(known, ASSUMED_FLEET_SIZE)
         self.board.processes = known
-        if self.on_change is not None:
-            self.on_change()
-
-
-def _update_of(member, age):
-    return _peer_messages.MemberUpdate(
-        member.incarnation,
-        member.beat,
-        member.life,
-        member.revision,
-        member.reads_store,
-        member.watches_store,
-        round(1000 * age),
-        member.retained,
-    )
-
-
-def _split_address(address):
-    host, _, port = address.rpartition(":")
-    return host, int(port)
+
+
+def _is_heartbeat_only(known):
+    """Return whether a process knows only heartbeats, as those of former versions."""
+    return known.member.membership_format == 0
--- a/boragegw/gateway/_peer_messages.py
+++ b/boragegw/gateway/_peer_messages.py
@@ -1,4 +1,4 @@
-"""Messages between gateway processes: heartbeats with gossip, in typed datagrams."""
+"""Messages of the membership protocol between gateway processes, one a datagram."""
 
 import enum
 
@@ -15,6 +15,8 @@
 
 #: Version of the format in which this process replicates records to its peers.
 REPLICA_FORMAT = 1
+#: Version of the membership protocol: processes with 0 know only heartbeats.
+MEMBERSHIP_FORMAT = 1
 
 
 class Member(msgspec.Struct, array_like=True, omit_defaults=True):
@@ -31,6 +33,8 @@
     :param replica_format: see :data:`REPLICA_FORMAT`; 0 for processes that send none.
     :param retained: digest of the reports that it retains, see
         :mod:`~boragegw.gateway._reconciliation`.
+    :param membership_format: see :data:`MEMBERSHIP_FORMAT`; 0 for processes that send
+        none.
     """
 
     name: str
@@ -46,6 +50,7 @@
     link_mbps: float = 1000.0
     replica_format: int = 0
     retained: int = 0
+    membership_format: int = 0
 
 
 class GossipedMember(msgspec.Struct, array_like=True):
@@ -91,9 +96,63 @@
 
 
 class UpdateBatch(msgspec.Struct, array_like=True, tag="p"):
-    """Compact heartbeat: the sender's update, and in a large fleet those of others."""
+    """Compact heartbeat: the sender's update, and from some processes those of others.
+
+    Processes with membership format 0 include updates of others in a large fleet.
+    """
+
+    updates: list[MemberUpdate]
+
+
+class Suspicion(msgspec.Struct, array_like=True):
+    """A process that does not reply to probes.
+
+    :param incarnation: identifies the process.
+    :param silent_ms: milliseconds since the last probe that it did not reply to.
+    """
+
+    incarnation: int
+    silent_ms: int
+
+
+class Purpose(enum.IntEnum):
+    """What the receiver of an :class:`Exchange` is expected to do."""
+
+    #: Apply it.
+    NOTICE = 0
+    #: Apply it and reply.
+    PROBE = 1
+    #: Apply it; it is the reply to a probe.
+    REPLY = 2
+    #: Apply it and pass on what is new to all processes of its data centre.
+    RELAY = 3
+
+
+class Exchange(msgspec.Struct, array_like=True, omit_defaults=True, tag="x"):
+    """State that the processes of a large fleet exchange.
+
+    :param updates: the sender's own update, then those of other processes.
+    :param members: processes that the receiver may not know yet.
+    :param processes: number of processes that the sender knows, including itself.
+    """
 
     updates: list[MemberUpdate]
+    suspicions: list[Suspicion] = []
+    members: list[GossipedMember] = []
+    purpose: Purpose = Purpose.NOTICE
+    processes: int = 0
+
+
+class MemberRequest(msgspec.Struct, array_like=True, omit_defaults=True, tag="r"):
+    """Request for the state of processes.
+
+    :param incarnations: the processes; empty for all that the receiver knows.
+    :param only_updates: whether updates suffice instead of full members.
+    """
+
+    sender: Member
+    incarnations: list[int] = []
+    only_updates: bool = False
 
 
 class CrashNotice(msgspec.Struct, array_like=True, tag="c"):
@@ -103,4 +162,4 @@
 
 
 #: Any of the datagrams.
-Datagram = Heartbeat | UpdateBatch | CrashNotice
+Datagram = Heartbeat | UpdateBatch | CrashNotice | Exchange | MemberRequest
--- a/boragegw/gateway/tests/test_membership.py
+++ b/boragegw/gateway/tests/test_membership.py
@@ -29,6 +29,7 @@
             caller_address=f"{name}:1",
             peer_address=f"{name}:2",
             life=gateway.Life.READY,
+            membership_format=_peer_messages.MEMBERSHIP_FORMAT,
         )
         process = gateway.Membership(
             gateway.Blackboard(),
@@ -60,6 +61,8 @@
             for process in list(self.processes.values()):
                 process.tick()
             self.deliver()
+            for process in list(self.processes.values()):
+                process.send_news()
             self.deliver()
 
 
@@ -290,7 +293,7 @@
         assert live_peer_names(process) == sorted(set(network.processes) - {name})
         assert all(
             k.member.incarnation >> 60 == (2 if int(k.member.name[1:]) < 8 else 1)
-            for k in process._known.values()
+            for k in process.roster.known()
         )
 
 
