Settings: a single internal port and numbers that are not finite are refused

`internal_ports = [7540]` was accepted although its error says "two ports"; the process then had no metrics address. `grace_s = nan` or `inf` (TOML allows both) passed, since NaN < 0 is false: a planned stop would never end by its own clock. The new cases failed before (left-behind list).

--- a/boragegw/platform/_settings.py
+++ b/boragegw/platform/_settings.py
@@ -1,6 +1,7 @@
 """Reads and validates the platform's settings file."""
 
 import dataclasses
+import math
 import os
 
 import msgspec
@@ -99,7 +100,7 @@
         """Return the settings; unknown keys are ignored."""
         front = self.address("listen.front")
         ports = self.integers("internal_ports")
-        if not ports:
+        if len(ports) != 2:
             self._raise_invalid("internal_ports", ports, "two ports")
         store = self.address("platform.address")
         return PlatformSettings(
@@ -149,11 +150,12 @@
         return value
 
     def number(self, key, default):
-        """Return a non-negative number."""
+        """Return a finite, non-negative number."""
         value = self._look_up(key)
         if value is None:
             return default
-        if isinstance(value, bool) or not isinstance(value, (int, float)) or value < 0:
+        is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+        if not is_number or not 0 <= value < math.inf:
             self._raise_invalid(key, value, "a number of at least 0")
         return float(value)
 
--- a/boragegw/platform/tests/test_settings.py
+++ b/boragegw/platform/tests/test_settings.py
@@ -65,6 +65,7 @@
         ("listen.ready", None, "listen.ready: None, expected host:port"),
         ("platform.address", 1, "platform.address: 1, expected host:port"),
         ("internal_ports", [], "internal_ports: [], expected two ports"),
+        ("internal_ports", [7540], "internal_ports: [7540], expected two ports"),
         ("internal_ports", ["x"], "expected a list of whole numbers"),
         ("seeds", "10.1.0.1:1", "expected a list of strings"),
         ("bounds.grace_s", -1, "bounds.grace_s: -1, expected a number of at least 0"),
@@ -123,9 +124,7 @@
     assert not loaded
 
 
-def test_toml_settings_are_read(tmp_path):
-    """The platform writes TOML if no template is configured."""
-    text = """
+TOML = """
 node = "front-a-1"
 ip = "10.1.0.34"
 zone = "a"
@@ -138,7 +137,11 @@
 [platform]
 address = "10.200.1.7:8541"
 """
-    path = write_settings(tmp_path, text)
+
+
+def test_toml_settings_are_read(tmp_path):
+    """The platform writes TOML if no template is configured."""
+    path = write_settings(tmp_path, TOML)
     assert platform.is_settings_file(path)
     settings = platform.load_settings(path)
     assert settings.gateway.caller_address == ("10.1.0.34", 8548)
@@ -151,3 +154,12 @@
     assert not platform.is_settings_file(path)
     with pytest.raises(errors.ConfigurationError, match="node.json"):
         platform.load_settings(path)
+
+
+@pytest.mark.parametrize("number", ["nan", "inf"])
+def test_number_that_is_not_finite_is_refused(tmp_path, number):
+    """TOML allows both. A comparison with NaN is false, so that a limit would be none."""
+    path = write_settings(tmp_path, f"{TOML}[bounds]\ngrace_s = {number}\n")
+    with pytest.raises(errors.ConfigurationError) as error_info:
+        platform.load_settings(path)
+    assert f"bounds.grace_s: {number}, expected a number" in error_info.value.detail
