Datagrams that cannot be decoded are logged, not only counted

After a failure an engineer saw `peers_datagrams_dropped` grow and could not tell whose datagrams they were.

--- a/boragegw/gateway/_membership.py
+++ b/boragegw/gateway/_membership.py
@@ -336,11 +336,12 @@
     # Receiving.
 
     def datagram_received(self, data, addr):
-        """Apply a message of another process; count and drop a malformed datagram."""
+        """Apply a message of another process; drop and log a malformed datagram."""
         try:
             message = self._decode(data)
-        except (msgspec.DecodeError, msgspec.ValidationError):
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
             self.board.counters["peers.datagrams_dropped"] += 1
+            self.log.event("datagram-dropped", sender=addr[0], reason=str(error))
             return
         self.roster.mark_heard()
         self._handlers[type(message)](message, addr)
--- a/boragegw/gateway/tests/test_membership.py
+++ b/boragegw/gateway/tests/test_membership.py
@@ -164,6 +164,15 @@
     assert process.alive() == []
 
 
+def test_malformed_datagram_is_logged_with_its_sender():
+    network = Network()
+    process = network.add("p0")
+    events = []
+    process.log.event = lambda kind, **fields: events.append((kind, fields["sender"]))
+    process.datagram_received(b"\xff", ("10.1.0.9", 2))
+    assert events == [("datagram-dropped", "10.1.0.9")]
+
+
 @hypothesis.settings(derandomize=True, deadline=None, max_examples=40)
 @hypothesis.given(seed=st.integers(0, 10_000), loss=st.sampled_from([0.0, 0.03, 0.2]))
 def test_live_processes_stay_in_sight_under_loss(seed, loss):
