--- a/boragegw/platform/tests/test_settings.py
+++ b/boragegw/platform/tests/test_settings.py
@@ -158,7 +158,7 @@
 
 @pytest.mark.parametrize("number", ["nan", "inf"])
 def test_number_that_is_not_finite_is_refused(tmp_path, number):
-    """TOML allows both. A comparison with NaN is false, so that a limit would be none."""
+    """TOML allows both. A comparison with NaN is false, so that it is no limit."""
     path = write_settings(tmp_path, f"{TOML}[bounds]\ngrace_s = {number}\n")
     with pytest.raises(errors.ConfigurationError) as error_info:
         platform.load_settings(path)
