Processes of former builds get no replies that they cannot read

In a fleet of two builds a process of the new one replied to each heartbeat of a former one with an exchange, which that one drops and counts as foreign or damaged. Former builds get heartbeats of their own already.

--- a/boragegw/gateway/_membership.py
+++ b/boragegw/gateway/_membership.py
@@ -357,7 +357,8 @@
     def _handle_updates(self, message, addr):
         for index, update in enumerate(message.updates):
             self._apply_update(update, is_sender=index == 0)
-        self._reply_to_heartbeat(addr)
+        if message.updates:
+            self._reply_to_heartbeat(message.updates[0].incarnation, addr)
         self._publish()
 
     def _handle_heartbeat(self, message, addr):
@@ -366,7 +367,7 @@
         if message.wants_reply:
             self._reply_to_new_process(message.sender)
         else:
-            self._reply_to_heartbeat(addr)
+            self._reply_to_heartbeat(message.sender.incarnation, addr)
         self._publish()
 
     def _reply_to_new_process(self, sender):
@@ -377,11 +378,14 @@
         else:
             self._send(address, self._heartbeat(_composer.MAX_GOSSIP_ENTRIES))
 
-    def _reply_to_heartbeat(self, addr):
+    def _reply_to_heartbeat(self, incarnation, addr):
         """Reply to a process that takes the fleet for a small one.
 
         It expects heartbeats from all processes.
         """
+        sender = self.roster.find(incarnation)
+        if sender is not None and _is_heartbeat_only(sender):
+            return
         if self.roster.is_large:
             self._send(addr, self._encode_exchange(_peer_messages.Purpose.NOTICE))
 
--- a/boragegw/gateway/_roster.py
+++ b/boragegw/gateway/_roster.py
@@ -156,7 +156,7 @@
         self._alive = [k for k in self._known.values() if now < _gone_at(k)]
         self._alive_until = min(map(_gone_at, self._alive), default=math.inf)
 
-    def _forget_alive(self):
+    def _invalidate_alive(self):
         self._alive_until = -math.inf
 
     # Changes.
@@ -223,7 +223,7 @@
             return False
         is_new = not known.is_suspected
         known.silent_since = silent_since
-        self._forget_alive()
+        self._invalidate_alive()
         return is_new
 
     def expire(self):
@@ -251,7 +251,7 @@
         if member.beat > known.member.beat:
             if _differs(member, known.member):
                 known.changed_at = self.now()
-                self._forget_alive()
+                self._invalidate_alive()
             known.member = member
         elif not direct or member.beat < known.member.beat:
             return None
@@ -259,7 +259,7 @@
         if heard_at > known.silent_since + AGE_TOLERANCE_SECONDS:
             known.silent_since = math.inf
             known.changed_at = self.now()
-            self._forget_alive()
+            self._invalidate_alive()
         if not was_gone or self.is_gone(known):
             return None
         # One that returns counts as new, so that others hear of its return soon: with
@@ -273,7 +273,7 @@
         known = KnownPeer(member, heard_at, self.now())
         self._known[member.name] = known
         self._by_incarnation[member.incarnation] = known
-        self._forget_alive()
+        self._invalidate_alive()
         self._update_size()
         return known
 
@@ -281,7 +281,7 @@
         known = self._known.pop(name, None)
         if known is not None:
             self._by_incarnation.pop(known.member.incarnation, None)
-            self._forget_alive()
+            self._invalidate_alive()
 
     def _update_size(self):
         size = max(len(self._known), self.told_size - 1)
@@ -296,7 +296,7 @@
             if self.is_gone(known):
                 known.silent_since = known.heard_at
         self._is_large = True
-        self._forget_alive()
+        self._invalidate_alive()
 
     def _become_small(self):
         """Expect a heartbeat from each live process from now on."""
