Membership: the round of a large fleet in short steps

Read as a newcomer: _send_probes did seven things, and the choice between a full and a compact heartbeat stood twice. That an announced change is sent once more in the next round is said now: it is wanted, since datagrams are lost.

--- a/boragegw/gateway/_membership.py
+++ b/boragegw/gateway/_membership.py
@@ -125,7 +125,7 @@
         if not self._is_new:
             self.roster.told_size = 0
         if self.roster.is_large:
-            self._send_probes()
+            self._run_round()
         else:
             self._send_heartbeats()
         self._publish()
@@ -153,19 +153,17 @@
         alive = self.roster.alive()
         own = self.local_member.data_centre
         local = [k for k in alive if k.member.data_centre == own]
-        if self._local_news:
-            for message in self._local_news.take_messages(
-                self.local_member, self.now()
-            ):
-                self._send_exchange(local, message)
-        if not self._fleet_news:
-            return
+        for message in self._take(self._local_news):
+            self._send_exchange(local, message)
         relays = _news.select_relays(alive, own, self.random_state)
-        for message in self._fleet_news.take_messages(self.local_member, self.now()):
+        for message in self._take(self._fleet_news):
             self._send_exchange(local, message)
             message.purpose = _peer_messages.Purpose.RELAY
             self._send_exchange(relays, message)
 
+    def _take(self, news):
+        return news.take_messages(self.local_member, self.now()) if news else []
+
     def broadcast_crash(self, fingerprint):
         """Report to all live processes that a request crashed a backend server."""
         datagram = self._encode(_peer_messages.CrashNotice(fingerprint))
@@ -180,16 +178,17 @@
 
     def _send_heartbeats(self):
         introduction = self._heartbeat(_composer.MAX_GOSSIP_ENTRIES)
-        is_full = self.local_member.beat % FULL_HEARTBEAT_BEATS == 0
-        regular = (
-            self._heartbeat(_composer.GOSSIP_ENTRIES)
-            if is_full
-            else self._encode(self._composer.compact_heartbeat())
-        )
+        regular = self._regular_heartbeat()
         informed = self._informed_addresses()
         for address in self._targets():
             self._send(address, regular if address in informed else introduction)
 
+    def _regular_heartbeat(self):
+        """Return a full heartbeat once in a while, otherwise a compact one."""
+        if self.local_member.beat % FULL_HEARTBEAT_BEATS == 0:
+            return self._heartbeat(_composer.GOSSIP_ENTRIES)
+        return self._encode(self._composer.compact_heartbeat())
+
     def _targets(self):
         targets = {known.address for known in self.roster.alive()}
         # Seeds are contacted forever: after a partition in which both sides have
@@ -211,28 +210,30 @@
 
     # Sending in a large fleet.
 
-    def _send_probes(self):
+    def _run_round(self):
         self._queue_own_change()
         if self._is_new:
             self._request_all_members()
+        self._send_probes()
+        self._synchronize()
+        self._contact_seeds()
+        if self.local_member.beat % HEARTBEAT_ONLY_BEATS == 0:
+            self._send_to_heartbeat_only(self._regular_heartbeat())
+        self.send_news()
+
+    def _send_probes(self):
         targets, silent = self.detector.start_round()
         for known, silent_since in silent:
             if self.roster.suspect(known, silent_since):
                 self._fleet_news.add_suspicion(known)
         for known in targets:
             self._send(known.address, self._probe_for(known))
-        self._synchronize()
-        self._contact_seeds()
-        if self.local_member.beat % HEARTBEAT_ONLY_BEATS == 0:
-            is_full = self.local_member.beat % FULL_HEARTBEAT_BEATS == 0
-            self._send_to_heartbeat_only(
-                self._heartbeat(0)
-                if is_full
-                else self._encode(self._composer.compact_heartbeat())
-            )
-        self.send_news()
 
     def _queue_own_change(self):
+        """Queue the own state if it has changed since the last round.
+
+        One that was announced is sent a second time, in case datagrams were lost.
+        """
         state = self._own_state()
         if state != self._published or self.local_member.beat in INTRODUCTION_BEATS:
             self._published = state
