--- a/boragegw/gateway/_news.py
+++ b/boragegw/gateway/_news.py
@@ -4,8 +4,8 @@
 
 from boragegw.gateway import _peer_messages
 
-#: Processes in each other data centre that pass news on there. One link in a hundred
-#: or so loses a datagram, and a process may be gone without anybody knowing yet.
+#: Processes in each other data centre that pass news on there: more than one, since a
+#: datagram may be lost, and a process may be gone without anybody knowing yet.
 RELAYS_PER_DATA_CENTRE = 2
 #: Maximum numbers of full members, and of updates and suspicions each, in a datagram of
 #: at most 1,200 bytes.
