Admission: client accounts, known API keys only, account named to backend servers

The configuration's accounts were not decoded.

Now the admission finds route and account from the head of a request. Digests of the keys are kept. A request without exactly one known key gets 401, before its body is taken; what has no key needs an anonymous route. The key is looked up again at each send, so a hedge, a retry or a request that waited for room does not start once its key is gone or has moved. Authorization is dropped whenever accounts are configured, the caller's X-Tenant always, also where Connection names them and in trailers, which are no longer part of the head. An account's priority goes before the route's.

Decoding is lenient as for routes: an invalid field costs only itself (an invalid rate becomes 1 a second, never unlimited), an account without a name that fits into a header costs only itself; a list of accounts that is not a list makes the configuration invalid, as it must not lift the need of a key. A key of two accounts belongs to the first, and the pair is logged.

A process that knows that others know more waits up to 0.3 s for their configuration and then answers 503, never 401 or 404.

Ruled out: deciding in the forwarder after the body (a body of 1 MB would be taken for nothing); keeping the result of the admission for later attempts.

--- a/boragegw/balancing/__init__.py
+++ b/boragegw/balancing/__init__.py
@@ -3,6 +3,7 @@
 The classes do no input or output. Time and randomness are arguments.
 """
 
+from boragegw.balancing._accounts import AccountTable, ClientAccount, key_digest
 from boragegw.balancing._budget import ProbeBudget, RetryBudget, SlidingWindowCounter
 from boragegw.balancing._hedging import LatencyHedgePolicy
 from boragegw.balancing._policies import DISABLING_PARAMETERS, POLICIES, PolicySettings
@@ -41,7 +42,9 @@
     "DISABLING_PARAMETERS",
     "POLICIES",
     "SLOWNESS_THRESHOLD",
+    "AccountTable",
     "CallerLimits",
+    "ClientAccount",
     "Configuration",
     "FailureRate",
     "LatencyHedgePolicy",
@@ -70,5 +73,6 @@
     "available_servers",
     "eligible_servers",
     "expected_latency",
+    "key_digest",
     "normalize_host",
 ]
--- a/boragegw/balancing/_routing.py
+++ b/boragegw/balancing/_routing.py
@@ -37,6 +37,7 @@
     :param max_attempts: maximum number of backend servers on which a request may run.
     :param weighted_services: the services that share the requests, by weight. Empty if
         they are not known; requests are then refused.
+    :param anonymous: whether requests need no API key.
     """
 
     name: str
@@ -48,6 +49,7 @@
     priority: int
     max_attempts: int
     weighted_services: tuple
+    anonymous: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -156,9 +158,12 @@
 
     :param version: a greater version replaces a smaller one.
     :param services: :class:`ServiceSettings` by name.
+    :param accounts: an :class:`~boragegw.balancing.AccountTable`; ``None`` if requests
+        need no API keys.
     """
 
     version: int
     routes: RouteTable
     services: dict
     limits: CallerLimits
+    accounts: object = None
--- a/boragegw/gateway/__init__.py
+++ b/boragegw/gateway/__init__.py
@@ -4,6 +4,13 @@
 defined by a platform adapter, see :class:`Dialect`.
 """
 
+from boragegw.gateway._admission import (
+    Admission,
+    AdmissionControl,
+    CallerIdentity,
+    RejectedError,
+    Rejection,
+)
 from boragegw.gateway._blackboard import Blackboard
 from boragegw.gateway._call import (
     AttemptOutcome,
@@ -13,7 +20,7 @@
 )
 from boragegw.gateway._caller_connection import BodyMemory, CallerConnection, Request
 from boragegw.gateway._catalogue import Catalogue
-from boragegw.gateway._dialect import Dialect, HealthResponse
+from boragegw.gateway._dialect import CredentialsError, Dialect, HealthResponse
 from boragegw.gateway._directory import DirectoryPolicy
 from boragegw.gateway._endpoint import Endpoint, EndpointResponse, path_of, query_of
 from boragegw.gateway._event_log import EventLog
@@ -52,7 +59,13 @@
     "render_metrics",
     "Response",
     "ServerSelector",
+    "Admission",
+    "AdmissionControl",
     "Blackboard",
+    "CallerIdentity",
+    "CredentialsError",
+    "RejectedError",
+    "Rejection",
     "BodyMemory",
     "Call",
     "Forwarder",
--- /dev/null
+++ b/boragegw/gateway/_admission.py
@@ -0,0 +1,135 @@
+"""Admission: whether a request may be forwarded, decided from its head."""
+
+import dataclasses
+import enum
+
+from boragegw import balancing
+from boragegw.gateway import _dialect
+
+#: Retry-After in seconds for a request whose API key has moved to another account since
+#: it was admitted.
+RETRY_MOVED_KEY = 0.05
+
+
+class Rejection(enum.Enum):
+    """Why a request is not admitted, with the HTTP status of the response.
+
+    The first value names the counter of these requests.
+    """
+
+    BEHIND = "behind", 503
+    MOVED_KEY = "moved_key", 503
+    NO_ROUTE = "no_route", 404
+    NO_SERVICE = "no_service", 503
+    QUARANTINED = "quarantined", 503
+    UNAUTHORIZED = "unauthorized", 401
+    UNCONFIGURED = "unconfigured", 503
+
+    def __init__(self, counter, status):
+        self.counter = counter
+        self.status = status
+
+
+class RejectedError(Exception):
+    """A request is not admitted; it has not run.
+
+    :param rejection: a :class:`Rejection`.
+    :param retry_after: seconds after which the caller may retry, or ``None``.
+    :param detail: more about the reason, for the log.
+    :param is_final: whether a later configuration cannot change the decision.
+    """
+
+    def __init__(self, rejection, retry_after=None, detail="", is_final=False):
+        super().__init__(detail or rejection.counter)
+        self.rejection = rejection
+        self.retry_after = retry_after
+        self.detail = detail
+        self.is_final = is_final
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerIdentity:
+    """Who sent a request.
+
+    :param account: the :class:`~boragegw.balancing.ClientAccount`, or ``None``.
+    :param has_accounts: whether client accounts are configured. The credentials are
+        then meant for this process and are not passed on.
+    """
+
+    account: balancing.ClientAccount | None = None
+    has_accounts: bool = False
+
+    @property
+    def account_name(self):
+        """Name of the client account, or ``None``."""
+        return None if self.account is None else self.account.name
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admission:
+    """An admitted request.
+
+    :param route: its :class:`~boragegw.balancing.Route`.
+    """
+
+    route: balancing.Route
+    identity: CallerIdentity
+
+
+class AdmissionControl:
+    """Finds the route and the client account of a request.
+
+    :param board: the :class:`Blackboard`; there has to be a configuration.
+    :param dialect: a :class:`Dialect`.
+    """
+
+    def __init__(self, board, dialect):
+        self.board = board
+        self.dialect = dialect
+
+    def admit(self, request):
+        """Return the :class:`Admission` of a request.
+
+        :raises RejectedError: if no route matches it, or its API key is not valid.
+        """
+        route = self._match(request)
+        return Admission(route, self._identify(request, route))
+
+    def _match(self, request):
+        host = (request.header(b"host") or b"").decode("latin-1")
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        route = self.board.configuration.routes.match(host, path)
+        if route is None:
+            raise RejectedError(Rejection.NO_ROUTE)
+        return route
+
+    def _identify(self, request, route):
+        """Return the :class:`CallerIdentity` by the configuration that is in force."""
+        accounts = self.board.configuration.accounts
+        if accounts is None:
+            return CallerIdentity()
+        try:
+            key = self.dialect.api_key(request.headers)
+        except _dialect.CredentialsError as error:
+            if route.anonymous:
+                return CallerIdentity(has_accounts=True)
+            raise RejectedError(
+                Rejection.UNAUTHORIZED, detail=str(error), is_final=True
+            ) from error
+        account = accounts.find(balancing.key_digest(key))
+        if account is None and not route.anonymous:
+            raise RejectedError(Rejection.UNAUTHORIZED, detail="unknown API key")
+        return CallerIdentity(account, has_accounts=True)
+
+    def renew(self, request, admission):
+        """Return the admission by the configuration now in force, for another attempt.
+
+        Guards against requests that are sent with a key that was removed, or in the
+        name of the account that held the key before.
+
+        :raises RejectedError: if the key has been removed or moved.
+        """
+        identity = self._identify(request, admission.route)
+        if identity.account_name != admission.identity.account_name:
+            raise RejectedError(Rejection.MOVED_KEY, RETRY_MOVED_KEY)
+        return Admission(admission.route, identity)
--- a/boragegw/gateway/_call.py
+++ b/boragegw/gateway/_call.py
@@ -29,6 +29,7 @@
 class Call:
     """State of one request while it is forwarded.
 
+    :param admission: the :class:`~boragegw.gateway.Admission` of the latest attempt.
     :param state: the service's :class:`ServiceState`.
     :param admitted_at: monotonic seconds at which the request was complete, first in
         the queue of its connection, and its route was known.
@@ -43,11 +44,13 @@
     :param fallback_outcome: the outcome of an attempt with an error response, which is
         passed on if no other attempt succeeds.
     :param reason: why the latest attempt failed.
+    :param rejected_status: HTTP status by which the admission was withdrawn before an
+        attempt, or 0.
     """
 
     request: object
     request_id: bytes
-    route: balancing.Route
+    admission: object
     service: balancing.ServiceSettings
     state: object
     admitted_at: float
@@ -59,6 +62,22 @@
     last_progress_at: float | None = None
     fallback_outcome: object = None
     reason: str = ""
+    rejected_status: int = 0
+
+    @property
+    def route(self):
+        """The request's :class:`~boragegw.balancing.Route`."""
+        return self.admission.route
+
+    @property
+    def account_name(self):
+        """Name of the client account, or ``None``."""
+        return self.admission.identity.account_name
+
+    @property
+    def priority(self):
+        """Priority of the client account, otherwise that of the route."""
+        return request_priority(self.admission)
 
     @property
     def idempotent(self):
@@ -112,6 +131,14 @@
         self.wait_queue = balancing.WaitingCounts()
 
 
+def request_priority(admission):
+    """Return the priority of an admitted request; 0 is the most urgent."""
+    account = admission.identity.account
+    if account is None or account.priority is None:
+        return admission.route.priority
+    return account.priority
+
+
 def request_fingerprint(request):
     """Return a digest that stays the same when a caller sends a request again."""
     digest = hashlib.blake2b(digest_size=16)
--- a/boragegw/gateway/_caller_connection.py
+++ b/boragegw/gateway/_caller_connection.py
@@ -30,6 +30,10 @@
     :param arrived: monotonic seconds of the first byte.
     :param keep_alive: whether the connection stays open after the response.
     :param refused_status: HTTP status with which the request is refused, or 0.
+    :param retry_after: seconds after which a refused request may be retried, or
+        ``None``.
+    :param admission: the :class:`~boragegw.gateway.Admission` that its head has got, or
+        ``None`` if that is still to be decided.
     :param disconnected: future that completes when the caller disconnects.
     """
 
@@ -41,6 +45,8 @@
     arrived: float = 0.0
     keep_alive: bool = True
     refused_status: int = 0
+    retry_after: float | None = None
+    admission: object = None
     disconnected: object = None
 
     def header(self, name):
@@ -85,8 +91,8 @@
     """One connection of a caller.
 
     :param gateway: has ``now``, ``limits``, ``stopping``, ``body_memory``,
-        ``error_response(status, request)``, ``log_error(error)`` and the coroutine
-        ``serve(request, writer)``.
+        ``check_head(request)``, ``error_response(status, request)``,
+        ``log_error(error)`` and the coroutine ``serve(request, writer)``.
     """
 
     def __init__(self, gateway):
@@ -180,8 +186,12 @@
             self._request.target += url
 
     def on_header(self, name, value):
-        """Add a header."""
-        if not self._discarding_input:
+        """Add a header.
+
+        Trailers of a chunked body are dropped. They arrive after the head has been
+        checked and could replace what the decision was based on.
+        """
+        if not self._discarding_input and not self._head_done:
             self._request.headers.append((name.lower(), value))
 
     def on_headers_complete(self):
@@ -196,6 +206,8 @@
         # The parser stops after a request that changes the protocol.
         error_status = 400 if self._parser.should_upgrade() else 0
         error_status = error_status or _head_error(request, self.gateway.limits)
+        if _has_body(request):
+            error_status = error_status or self.gateway.check_head(request)
         error_status = error_status or self._body_memory_error(request)
         if error_status:
             self._refuse_now(error_status)
@@ -385,6 +397,13 @@
         self._wake_writers()
 
 
+def _has_body(request):
+    length = request.header(b"content-length") or b"0"
+    return (
+        length.strip(b"0 ") != b"" or request.header(b"transfer-encoding") is not None
+    )
+
+
 def _head_error(request, limits):
     """Return the status with which to refuse a request because of its head, or 0.
 
--- a/boragegw/gateway/_dialect.py
+++ b/boragegw/gateway/_dialect.py
@@ -20,6 +20,13 @@
     cold_for: float | None
 
 
+class CredentialsError(Exception):
+    """A request has no credentials in the expected form.
+
+    The message says why, without any part of the credentials.
+    """
+
+
 class Dialect(abc.ABC):
     """Header names and meaning of responses on one platform."""
 
@@ -32,10 +39,21 @@
         """Return the seconds until the caller's deadline, or ``None``."""
 
     @abc.abstractmethod
-    def request_head(self, request, server, seconds_left):
+    def api_key(self, headers):
+        """Return the caller's API key in bytes.
+
+        :raises CredentialsError: if there is not exactly one, in the expected form.
+        """
+
+    @abc.abstractmethod
+    def request_head(self, request, server, seconds_left, identity):
         """Return the head of a request as it is sent to ``server``, in bytes.
 
+        The name of the client account is stated, and what the caller says of it is not
+        passed on. If accounts are configured, the credentials are not passed on either.
+
         :param seconds_left: seconds until the caller's deadline.
+        :param identity: a :class:`~boragegw.gateway.CallerIdentity`.
         """
 
     @abc.abstractmethod
--- a/boragegw/gateway/_endpoint.py
+++ b/boragegw/gateway/_endpoint.py
@@ -46,6 +46,10 @@
             lambda: _caller_connection.CallerConnection(self), *address, backlog=512
         )
 
+    def check_head(self, request):
+        """Return 0: the handler decides on whole requests."""
+        return 0
+
     async def serve(self, request, writer):
         """Respond to one request."""
         response = await self.handler(request)
--- a/boragegw/gateway/_forwarder.py
+++ b/boragegw/gateway/_forwarder.py
@@ -5,8 +5,9 @@
 import math
 
 from boragegw import balancing, errors
-from boragegw.gateway import _call, _delivery, _sender, _upstream
+from boragegw.gateway import _admission, _call, _delivery, _sender, _upstream
 
+Rejection = _admission.Rejection
 Verdict = errors.Verdict
 
 #: Seconds by which the final response precedes the caller's own deadline, so that it
@@ -28,8 +29,9 @@
 RETRY_QUARANTINED = 60.0
 #: Retry-After in seconds while no configuration is known yet.
 RETRY_UNCONFIGURED = 0.3
-#: Retry-After in seconds for a request whose route may be part of a configuration that
-#: this process has not read yet.
+#: Seconds for which a request whose route or API key may be part of a configuration
+#: that this process has not read yet waits for it, and Retry-After if it has not come.
+BEHIND_WAIT = 0.3
 RETRY_BEHIND = 0.3
 #: Retry-After in seconds for a request whose route leads to no known service. An
 #: operator has to publish another configuration first.
@@ -38,7 +40,7 @@
 #: usually arrives within 15 ms. Later, requests wait only while it is arriving. If the
 #: store is unavailable, they are refused at once.
 INITIAL_CONFIGURATION_WAIT = 0.3
-#: Seconds between checks whether the first configuration is still arriving.
+#: Seconds between checks whether a configuration is still arriving.
 CONFIGURATION_POLL_INTERVAL = 0.05
 
 
@@ -80,18 +82,44 @@
         self.random_state = random_state
         self.log = log
         self.shedding = policies.make("shedding")
+        self.admission = _admission.AdmissionControl(board, dialect)
         self.sender = _sender.Sender(
-            board, dialect, selector, self.shedding, now=now, log=log
+            board, dialect, selector, self.shedding, self.admission, now=now, log=log
         )
         self._services = {}
         self._traffic_splits = {}
         self._wait_until = now() + INITIAL_CONFIGURATION_WAIT
 
+    def check_head(self, request):
+        """Admit a request by its head, before its body arrives.
+
+        :return: the status with which to refuse it, or 0 if it is admitted or if a
+            later configuration may admit it.
+        """
+        if self.board.configuration is None:
+            return 0
+        try:
+            request.admission = self.admission.admit(request)
+        except _admission.RejectedError as error:
+            no_route = error.rejection is Rejection.NO_ROUTE
+            if no_route or self._may_be_outdated(error):
+                return 0
+            self._record_rejection(request, error)
+            request.retry_after = error.retry_after
+            return error.rejection.status
+        return 0
+
     async def forward(self, request, writer):
         """Forward one request and write its response."""
         await self._wait_for_configuration(request)
-        call = self._admit(request, writer)
-        if call is None:
+        try:
+            await self._admit(request)
+            call = self._start_call(request)
+        except _admission.RejectedError as error:
+            self._record_rejection(request, error)
+            request_id = self.dialect.request_id(request.headers)
+            status = error.rejection.status
+            self._refuse(request, request_id, writer, status, error.retry_after)
             return
         await self._run(call, writer)
 
@@ -101,11 +129,7 @@
         """Wait for the first configuration as long as it is expected to arrive soon."""
         if self.board.configuration is not None:
             return
-        caller_timeout = self.dialect.caller_timeout(request.headers)
-        if caller_timeout is None:
-            end = self.now() + INITIAL_CONFIGURATION_WAIT
-        else:
-            end = request.arrived + caller_timeout - DEADLINE_MARGIN
+        end = self._wait_end(request, INITIAL_CONFIGURATION_WAIT)
         while self.board.configuration is None and (left := end - self.now()) > 0:
             over = self.now() >= self._wait_until and not self.board.loading_snapshot
             if over or request.caller_gone:
@@ -114,39 +138,90 @@
                 async with asyncio.timeout(min(CONFIGURATION_POLL_INTERVAL, left)):
                     await self.board.configured.wait()
 
-    def _admit(self, request, writer):
-        configuration = self.board.configuration
-        request_id = self.dialect.request_id(request.headers)
-        if configuration is None:
-            self.board.counters["requests.unconfigured"] += 1
-            self._refuse(request, request_id, writer, 503, RETRY_UNCONFIGURED)
-            return None
-        host = (request.header(b"host") or b"").decode("latin-1")
-        path = request.target.partition(b"?")[0].decode("latin-1")
-        route = configuration.routes.match(host, path)
-        if route is None:
-            self._refuse_without_route(request, request_id, writer)
-            return None
+    def _wait_end(self, request, default):
+        """Return until when a request may wait: its deadline, else ``default`` s."""
+        caller_timeout = self.dialect.caller_timeout(request.headers)
+        if caller_timeout is None:
+            return self.now() + default
+        return request.arrived + caller_timeout - DEADLINE_MARGIN
+
+    async def _admit(self, request):
+        """Store the admission of a request that has none yet.
+
+        :raises RejectedError: if the request must not be forwarded.
+        """
+        if request.admission is not None:
+            return
+        if self.board.configuration is None:
+            raise _admission.RejectedError(Rejection.UNCONFIGURED, RETRY_UNCONFIGURED)
+        end = min(self.now() + BEHIND_WAIT, self._wait_end(request, BEHIND_WAIT))
+        while request.admission is None:
+            try:
+                request.admission = self.admission.admit(request)
+            except _admission.RejectedError as error:
+                if not self._may_be_outdated(error):
+                    raise
+                if self.now() >= end or request.caller_gone:
+                    raise _admission.RejectedError(
+                        Rejection.BEHIND, RETRY_BEHIND
+                    ) from error
+                await asyncio.sleep(CONFIGURATION_POLL_INTERVAL)
+
+    def _may_be_outdated(self, error):
+        """Return whether a configuration that is not known yet may decide otherwise.
+
+        Guards against a 401 or 404 for a key or route that other processes have in
+        force already. Only a process that knows the latest configuration can tell that
+        it does not exist.
+        """
+        return not error.is_final and self.board.behind
+
+    def _record_rejection(self, request, error):
+        """Count and log a request that is not admitted.
+
+        :param error: a :class:`RejectedError`.
+        """
+        rejection = error.rejection
+        self.board.counters[f"requests.{rejection.counter}"] += 1
+        self.log.event(
+            "request-rejected",
+            request=self.dialect.request_id(request.headers).decode("latin-1"),
+            status=rejection.status,
+            reason=rejection.counter,
+            detail=error.detail,
+            retry_after=error.retry_after,
+            after=round(self.now() - request.arrived, 4),
+        )
+
+    def _start_call(self, request):
+        """Return the :class:`Call` of an admitted request.
+
+        :raises RejectedError: if the request crashes servers or its service is unknown.
+        """
+        admission = request.admission
+        route = admission.route
         if self.sender.is_quarantined(request):
-            self.board.counters["requests.quarantined"] += 1
-            self._refuse(request, request_id, writer, 503, RETRY_QUARANTINED)
-            return None
-        service = configuration.services.get(self._next_service(route))
+            raise _admission.RejectedError(Rejection.QUARANTINED, RETRY_QUARANTINED)
+        service = self.board.configuration.services.get(self._next_service(route))
         if service is None:
-            self.board.counters["requests.no_service"] += 1
             self.log.event("unknown-service", route=route.name)
-            self._refuse(request, request_id, writer, 503, RETRY_UNKNOWN_SERVICE)
-            return None
+            raise _admission.RejectedError(Rejection.NO_SERVICE, RETRY_UNKNOWN_SERVICE)
         now = self.now()
         state = self.service_state(service.name)
         state.retry_budget.observe_request(now)
-        state.ranks.observe(route.priority, now)
+        state.ranks.observe(_call.request_priority(admission), now)
         caller_timeout = self.dialect.caller_timeout(request.headers)
         if caller_timeout is None:
             caller_timeout = math.inf
         left = min(caller_timeout - DEADLINE_MARGIN, route.timeout)
         return _call.Call(
-            request, request_id, route, service, state, now, request.arrived + left
+            request,
+            self.dialect.request_id(request.headers),
+            admission,
+            service,
+            state,
+            now,
+            request.arrived + left,
         )
 
     def _next_service(self, route):
@@ -390,6 +465,7 @@
             "request-failed",
             request=call.request_id.decode("latin-1"),
             route=call.route.name,
+            account=call.account_name,
             service=call.service.name,
             status=status,
             reason=call.reason or "no answer in time",
@@ -410,21 +486,7 @@
         """
         if call.attempts and (call.may_have_run or now >= call.deadline):
             return 504 if now >= call.deadline else 502
-        return 503
-
-    def _refuse_without_route(self, request, request_id, writer):
-        """Refuse a request that no route matches.
-
-        Guards against a 404 for a route that other processes have in force already.
-        Only a process that knows the latest configuration can tell that a route does
-        not exist.
-        """
-        if self.board.behind:
-            self.board.counters["requests.behind"] += 1
-            self._refuse(request, request_id, writer, 503, RETRY_BEHIND)
-            return
-        self.board.counters["requests.no_route"] += 1
-        self._refuse(request, request_id, writer, 404)
+        return call.rejected_status or 503
 
     def _refuse(self, request, request_id, writer, status, retry_after=None):
         close = self.board.stopping
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -203,6 +203,10 @@
         """Whether a graceful shutdown has begun."""
         return self.board.stopping
 
+    def check_head(self, request):
+        """Return the status with which to refuse a request by its head, or 0."""
+        return self.forwarder.check_head(request)
+
     async def serve(self, request, writer):
         """Serve one request."""
         await self.forwarder.forward(request, writer)
@@ -221,7 +225,9 @@
             bodies=self.body_memory.used_bytes,
             after=round(self.now() - request.arrived, 4),
         )
-        return self.dialect.error_response(status, request_id, None, True)
+        return self.dialect.error_response(
+            status, request_id, request.retry_after, True
+        )
 
     def log_error(self, error):
         """Log an internal error that ended a request without a response."""
--- a/boragegw/gateway/_metrics.py
+++ b/boragegw/gateway/_metrics.py
@@ -17,7 +17,10 @@
     "requests.broken_off": "answers that ended after a part of them was passed on",
     "requests.late": "answers that came after their route's target latency",
     "requests.no_route": "requests that no route of the configuration matches",
-    "requests.behind": "requests without a route while others know a later revision",
+    "requests.behind": "requests with an unknown route or API key while others know a "
+    "later revision",
+    "requests.unauthorized": "requests without a known API key",
+    "requests.moved_key": "requests whose API key has moved to another account",
     "requests.no_service": "requests whose route leads to no known service",
     "requests.unconfigured": "requests refused before the first configuration",
     "requests.defects": "requests that an error of the gateway itself ended",
--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -4,6 +4,7 @@
 
 from boragegw import balancing, errors, utils
 from boragegw.gateway import (
+    _admission,
     _call,
     _delivery,
     _server_selector,
@@ -40,17 +41,19 @@
     :param dialect: a :class:`Dialect`.
     :param selector: a :class:`ServerSelector`.
     :param shedding: a :class:`~boragegw.balancing.SheddingPolicy`.
+    :param admission: an :class:`AdmissionControl`.
     :param now: function that returns monotonic seconds.
     :param log: an :class:`EventLog`.
     :ivar broadcast_crash: function that reports the fingerprint of a request to the
         other processes after a crash, or ``None``.
     """
 
-    def __init__(self, board, dialect, selector, shedding, *, now, log):
+    def __init__(self, board, dialect, selector, shedding, admission, *, now, log):
         self.board = board
         self.dialect = dialect
         self.selector = selector
         self.shedding = shedding
+        self.admission = admission
         self.now = now
         self.log = log
         # A crash may have another cause than the request, so a single crash quarantines
@@ -119,11 +122,11 @@
         if selection is not None or hedge:
             return selection
         queue = call.state.wait_queue
-        queue.enter(call.route.priority)
+        queue.enter(call.priority)
         try:
             return await self._wait_for_capacity(call, unanswered)
         finally:
-            queue.leave(call.route.priority)
+            queue.leave(call.priority)
 
     async def _wait_for_capacity(self, call, unanswered):
         """Search again until the request has waited as long as it may for capacity.
@@ -141,7 +144,7 @@
                 return None
             await asyncio.sleep(self.shedding.pause)
             if not unanswered and not call.state.wait_queue.is_most_urgent(
-                call.route.priority
+                call.priority
             ):
                 continue
             selection, unanswered = await self._search(call)
@@ -149,7 +152,7 @@
                 return selection
 
     def _queue_deadline(self, call):
-        urgent = call.state.ranks.is_urgent(call.route.priority, self.now())
+        urgent = call.state.ranks.is_urgent(call.priority, self.now())
         return self.shedding.hold_until(call.route, call.admitted_at, urgent)
 
     async def _search(self, call):
@@ -197,6 +200,8 @@
         """Return why the request must not be sent, or "" if it may be sent."""
         if call.request.caller_gone:
             return "caller left"
+        if not self._renew_admission(call):
+            return "no longer admitted"
         left = call.deadline - now
         if left < MIN_REMAINING_TIME:
             return "no time left"
@@ -210,11 +215,22 @@
             return "servers are full"
         return ""
 
+    def _renew_admission(self, call):
+        """Check the API key against the configuration in force; return if it holds."""
+        try:
+            call.admission = self.admission.renew(call.request, call.admission)
+        except _admission.RejectedError as error:
+            call.rejected_status = error.rejection.status
+            return False
+        return True
+
     async def _exchange(self, call, selection, now):
         """Send on a connection that has just carried a probe; read the response."""
         server = selection.server
         left = call.deadline - now
-        head = self.dialect.request_head(call.request, server, left)
+        head = self.dialect.request_head(
+            call.request, server, left, call.admission.identity
+        )
         connection = selection.connection
         try:
             async with asyncio.timeout(left + ATTEMPT_GRACE):
--- a/boragegw/gateway/tests/test_caller_connection.py
+++ b/boragegw/gateway/tests/test_caller_connection.py
@@ -63,6 +63,9 @@
     def log_error(self, error):
         raise error
 
+    def check_head(self, request):
+        return 0
+
     def error_response(self, status, request):
         return b"HTTP/1.1 %d Refused\r\ncontent-length: 0\r\n\r\n" % status
 
--- a/boragegw/platform/_dialect.py
+++ b/boragegw/platform/_dialect.py
@@ -1,7 +1,7 @@
 """Formats requests and interprets responses as the platform defines them."""
 
 from boragegw import balancing, gateway
-from boragegw.platform import _wire_names
+from boragegw.platform import _schemas, _wire_names
 
 #: Hop-by-hop headers and headers that this process sets itself.
 HEADERS_NOT_FORWARDED = frozenset(
@@ -19,14 +19,20 @@
         b"content-length",
         _wire_names.DEADLINE_MS,
         _wire_names.EXPECTED_INSTANCE,
+        _wire_names.ACCOUNT,
     )
 )
+#: Scheme of the credentials in lower case, and the maximum length of an API key.
+BEARER = b"bearer"
+MAX_KEY_BYTES = _schemas.MAX_HEADER_TEXT
 MISDIRECTED_REQUEST = 421
 REASON_PHRASES = {
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     408: "Request Timeout",
     413: "Content Too Large",
+    429: "Too Many Requests",
     431: "Request Header Fields Too Large",
     502: "Bad Gateway",
     503: "Service Unavailable",
@@ -46,15 +52,32 @@
         value = _header_value(headers, _wire_names.DEADLINE_MS)
         return None if value is None else _parse_milliseconds(value)
 
-    def request_head(self, request, server, seconds_left):
+    def api_key(self, headers):
+        """Return the key of the only Authorization header, ``Bearer KEY``."""
+        values = [value for name, value in headers if name == _wire_names.AUTHORIZATION]
+        if len(values) != 1:
+            raise gateway.CredentialsError(f"{len(values)} Authorization headers")
+        scheme, _, key = values[0].strip(b" \t").partition(b" ")
+        if scheme.lower() != BEARER:
+            raise gateway.CredentialsError("the scheme is not Bearer")
+        key = key.lstrip(b" ")
+        if not key or len(key) > MAX_KEY_BYTES or not _is_printable(key):
+            raise gateway.CredentialsError("malformed API key")
+        return key
+
+    def request_head(self, request, server, seconds_left, identity):
         """Return the request line and headers of a request to ``server``."""
-        connection_options = _connection_options(request.headers)
+        dropped = HEADERS_NOT_FORWARDED | _connection_options(request.headers)
+        if identity.has_accounts:
+            dropped |= {_wire_names.AUTHORIZATION}
         lines = [request.method + b" " + request.target + b" HTTP/1.1"]
         lines += [
             name + b": " + value
             for name, value in request.headers
-            if name not in HEADERS_NOT_FORWARDED and name not in connection_options
+            if name not in dropped
         ]
+        if identity.account is not None:
+            lines.append(_wire_names.ACCOUNT + b": " + identity.account.name.encode())
         milliseconds = max(1, int(seconds_left * 1000))
         lines.append(_wire_names.DEADLINE_MS + b": %d" % milliseconds)
         lines.append(_wire_names.EXPECTED_INSTANCE + b": " + server.identity.encode())
@@ -131,6 +154,8 @@
         lines = [f"HTTP/1.1 {status} {text}", "content-length: 0"]
         if request_id:
             lines.append(f"x-request-id: {request_id.decode('latin-1')}")
+        if status == 401:
+            lines.append("www-authenticate: Bearer")
         if retry_after is not None:
             lines.append(f"retry-after: {retry_after:.3f}")
         if close:
@@ -138,6 +163,11 @@
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
 
+def _is_printable(text):
+    """Return whether bytes are printable ASCII characters without spaces."""
+    return all(0x21 <= byte <= 0x7E for byte in text)
+
+
 def _header_value(headers, name):
     for header_name, value in headers:
         if header_name == name:
--- a/boragegw/platform/_document_decoder.py
+++ b/boragegw/platform/_document_decoder.py
@@ -67,8 +67,38 @@
             routes=balancing.RouteTable(self._to_route(r) for r in routes if r),
             services={s.name: _service_settings(s) for s in services if s},
             limits=_caller_limits(limits),
+            accounts=self._to_accounts(wire.tenants),
         )
 
+    def _to_accounts(self, raw_accounts):
+        """Return the table of accounts, or ``None`` if no accounts are configured."""
+        if raw_accounts is msgspec.UNSET:
+            return None
+        decode = self._part_decoder.decode
+        decoded = (decode(_schemas.WireAccount, raw) for raw in raw_accounts)
+        table = balancing.AccountTable(
+            (_client_account(wire), list(self._api_keys(wire)))
+            for wire in decoded
+            if wire is not None
+        )
+        for holder, other in table.conflicts:
+            self.log.event("shared-api-key", holder=holder, other=other)
+        return table
+
+    def _api_keys(self, wire):
+        """Yield the valid API keys of an account in bytes."""
+        for key in wire.api_keys:
+            try:
+                yield msgspec.convert(key, _schemas.HeaderText).encode()
+            except msgspec.ValidationError as error:
+                self.log.event(
+                    "unreadable-part",
+                    part="account",
+                    name=wire.name,
+                    field="api_keys",
+                    reason=str(error),
+                )
+
     def _to_route(self, wire):
         """Return a route; one without valid services is kept, with no services.
 
@@ -85,6 +115,7 @@
             priority=wire.priority,
             max_attempts=wire.max_attempts,
             weighted_services=_weighted_services(wire),
+            anonymous=wire.anonymous,
         )
 
     def _route_kind(self, wire):
@@ -134,6 +165,12 @@
     )
 
 
+def _client_account(wire):
+    return balancing.ClientAccount(
+        name=wire.name, priority=wire.priority, rate=wire.rate_per_s, burst=wire.burst
+    )
+
+
 def _weighted_services(wire):
     if wire.traffic_split:
         return tuple(
--- a/boragegw/platform/_schemas.py
+++ b/boragegw/platform/_schemas.py
@@ -10,13 +10,24 @@
 UNLIMITED_WARM_UP_RATE = 1e6
 #: Timeout of a route that does not set one, in seconds.
 DEFAULT_TIMEOUT = 60.0
+#: Maximum number of characters in the name or the API key of a client account.
+MAX_HEADER_TEXT = 1024
 #: Values that replace invalid fields where the default of a missing field could permit
 #: more than the writer intended.
-CONSERVATIVE_VALUES = {"max_attempts": 1, "warmup_per_s": 1.0}
+CONSERVATIVE_VALUES = {
+    "max_attempts": 1,
+    "warmup_per_s": 1.0,
+    "rate_per_s": 1.0,
+    "burst": 0.0,
+}
 
 NonNegativeFloat = typing.Annotated[float, msgspec.Meta(ge=0)]
 PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0)]
 NonNegativeInt = typing.Annotated[int, msgspec.Meta(ge=0)]
+#: Text that can be sent in a header: printable ASCII characters without spaces.
+HeaderText = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^[\x21-\x7e]+\Z", max_length=MAX_HEADER_TEXT)
+]
 PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
 
 
@@ -40,6 +51,7 @@
     max_attempts: PositiveInt = DEFAULT_MAX_ATTEMPTS
     service: str | None = None
     traffic_split: list[WireWeightedService] | None = None
+    anonymous: bool = False
 
 
 class WireService(msgspec.Struct):
@@ -52,6 +64,19 @@
     warmup_per_s: NonNegativeFloat = UNLIMITED_WARM_UP_RATE
 
 
+class WireAccount(msgspec.Struct):
+    """A client account; its name is sent to backend servers in a header.
+
+    The keys are decoded one by one.
+    """
+
+    name: HeaderText
+    api_keys: list[typing.Any] = []
+    priority: int | None = None
+    rate_per_s: NonNegativeFloat = 0.0
+    burst: NonNegativeFloat = 0.0
+
+
 class WireLimits(msgspec.Struct):
     """Limits on the size and pace of what a caller sends."""
 
@@ -62,11 +87,16 @@
 
 
 class WireConfiguration(msgspec.Struct):
-    """The complete configuration; its parts are decoded one by one."""
+    """The complete configuration; its parts are decoded one by one.
+
+    Without the field ``tenants``, requests need no API keys. A value that is not a list
+    makes the whole configuration invalid, so that it does not lift this requirement.
+    """
 
     version: str
     routes: list[msgspec.Raw]
     services: list[msgspec.Raw]
+    tenants: list[msgspec.Raw] | msgspec.UnsetType = msgspec.UNSET
     limits: msgspec.Raw = msgspec.Raw(b"{}")
 
 
--- a/boragegw/platform/_wire_names.py
+++ b/boragegw/platform/_wire_names.py
@@ -16,6 +16,10 @@
 #: Milliseconds until the backend server has warmed up.
 WARM_UP_MS = b"x-warmup-ms"
 
+AUTHORIZATION = b"authorization"
+#: Name of the client account that sent the request; set by this process only.
+ACCOUNT = b"x-tenant"
+
 SERVERS_PREFIX = "servers/"
 CONFIGURATION_KEY = "op/config"
 #: A key below this prefix names a data centre that receives no requests.
--- a/boragegw/standins/_wire_backend.py
+++ b/boragegw/standins/_wire_backend.py
@@ -51,6 +51,8 @@
     :ivar runs: (request id, target, body) of each request that was run.
     :ivar probes: number of health checks received.
     :ivar cancelled: ids of requests whose run was cancelled.
+    :ivar heads: pairs of name and value of each request that was run, by its id.
+    :ivar health_heads: those of each health check.
     :ivar deadlines: deadline in milliseconds of each request, by its id.
     """
 
@@ -73,6 +75,8 @@
         self.probes = 0
         self.cancelled = []
         self.deadlines = {}
+        self.heads = {}
+        self.health_heads = []
         self.random_state = random.Random(identity)
         self._connections = set()
 
@@ -144,6 +148,7 @@
     def on_message_begin(self):
         self.target = b""
         self.headers = {}
+        self.head = []
         self.body = b""
 
     def on_url(self, url):
@@ -151,6 +156,7 @@
 
     def on_header(self, name, value):
         self.headers[name.lower()] = value
+        self.head.append((name.lower(), value))
 
     def on_body(self, body):
         self.body += body
@@ -174,6 +180,7 @@
     async def _handle_health_check(self):
         backend = self.backend
         backend.probes += 1
+        backend.health_heads.append(self.head)
         status = 200 if backend.faults.healthy else 503
         headers = [("x-instance-id", backend.identity)]
         if backend.faults.warm_up_ms:
@@ -205,6 +212,7 @@
             backend.crash()
             return
         backend.runs.append((request_id, self.target, self.body))
+        backend.heads[request_id] = self.head
         backend.deadlines[request_id] = int(self.headers.get(b"x-deadline-ms", b"0"))
         try:
             await backend.run()
--- a/boragegw/standins/_wire_installation.py
+++ b/boragegw/standins/_wire_installation.py
@@ -83,10 +83,18 @@
             **fields,
         }
 
-    def publish(self, routes, services=("app", "other"), version=None, **limits):
+    @staticmethod
+    def account(name, *keys, **fields):
+        """Return a client account in the published format."""
+        return {"name": name, "api_keys": list(keys), **fields}
+
+    def publish(
+        self, routes, services=("app", "other"), version=None, accounts=None, **limits
+    ):
         """Publish a configuration.
 
         :param version: its number; by default, the last one increased by two.
+        :param accounts: client accounts in the published format; ``None`` for none.
         :param limits: limits of the configuration, by their published names.
         """
         self.version = self.version + 2 if version is None else version
@@ -100,6 +108,7 @@
                     {"name": name, "warmup_per_s": 10.0, **fields} for name in services
                 ],
                 "limits": limits,
+                **({} if accounts is None else {"tenants": accounts}),
             },
         )
 
