Allotments: limits of client accounts, counted by two owners of each

Cause: nothing counted the requests of an account.

A request over the limit gets 429 at its head with Retry-After, does no other work, and is logged with the figures behind the decision. Hedges and retries are one request; what found no room is taken back. Metrics show the ten largest accounts and add up the others.

--- /dev/null
+++ b/boragegw/accounts/__init__.py
@@ -0,0 +1,19 @@
+"""Client accounts and their API keys."""
+
+from boragegw.accounts._accounts import (
+    MAX_KEY_BYTES,
+    AccountTable,
+    ClientAccount,
+    CredentialsError,
+    bearer_key,
+    key_digest,
+)
+
+__all__ = [
+    "MAX_KEY_BYTES",
+    "AccountTable",
+    "ClientAccount",
+    "CredentialsError",
+    "bearer_key",
+    "key_digest",
+]
--- a/boragegw/balancing/_accounts.py
+++ b/boragegw/accounts/_accounts.py
@@ -3,8 +3,16 @@
 import dataclasses
 import hashlib
 
-#: Bytes of the digest under which an API key is kept.
-KEY_DIGEST_BYTES = 32
+#: Scheme of the credentials in lower case, and the maximum length of an API key.
+BEARER = b"bearer"
+MAX_KEY_BYTES = 1024
+
+
+class CredentialsError(Exception):
+    """A request has no credentials in the expected form.
+
+    The message says why, without any part of the credentials.
+    """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,7 +44,8 @@
     to the account that comes first in the configuration. Accounts with the same name
     are one account, with the priority and the limit of the first.
 
-    :param accounts: pairs of a :class:`ClientAccount` and its API keys in bytes.
+    :param accounts: pairs of a :class:`ClientAccount` and the digests of its API keys,
+        see :func:`key_digest`.
     :ivar conflicts: for each key of several accounts, the names of the account that
         holds it and of the one that does not.
     """
@@ -45,19 +54,22 @@
         self.conflicts = []
         self._by_name = {}
         self._by_digest = {}
-        for account, keys in accounts:
+        for account, digests in accounts:
             known = self._by_name.setdefault(account.name, account)
-            for key in keys:
-                self._add_key(key, known)
+            for digest in digests:
+                self._add_key(digest, known)
 
-    def _add_key(self, key, account):
-        holder = self._by_digest.setdefault(key_digest(key), account)
+    def _add_key(self, digest, account):
+        holder = self._by_digest.setdefault(digest, account)
         if holder is not account:
             self.conflicts.append((holder.name, account.name))
 
     def __len__(self):
         return len(self._by_name)
 
+    def __iter__(self):
+        return iter(self._by_name.values())
+
     def find(self, digest):
         """Return the account that holds the key with this digest, or ``None``."""
         return self._by_digest.get(digest)
@@ -68,5 +80,27 @@
 
 
 def key_digest(key):
-    """Return the digest of an API key in bytes."""
-    return hashlib.blake2b(key, digest_size=KEY_DIGEST_BYTES).digest()
+    """Return the SHA-256 digest of an API key in bytes."""
+    return hashlib.sha256(key).digest()
+
+
+def bearer_key(values):
+    """Return the API key in the only Authorization header, ``Bearer KEY``.
+
+    :param values: values of all Authorization headers in bytes.
+    :raises CredentialsError: if there is not exactly one, in this form.
+    """
+    if len(values) != 1:
+        raise CredentialsError(f"{len(values)} Authorization headers")
+    scheme, _, key = values[0].strip(b" \t").partition(b" ")
+    if scheme.lower() != BEARER:
+        raise CredentialsError("the scheme is not Bearer")
+    key = key.lstrip(b" ")
+    if not 0 < len(key) <= MAX_KEY_BYTES or not _is_printable(key):
+        raise CredentialsError("malformed API key")
+    return key
+
+
+def _is_printable(text):
+    """Return whether bytes are printable ASCII characters without spaces."""
+    return all(0x21 <= byte <= 0x7E for byte in text)
--- a/boragegw/balancing/__init__.py
+++ b/boragegw/balancing/__init__.py
@@ -3,7 +3,19 @@
 The classes do no input or output. Time and randomness are arguments.
 """
 
-from boragegw.balancing._accounts import AccountTable, ClientAccount, key_digest
+from boragegw.balancing._admitted_shares import AdmittedShares, owners_of
+from boragegw.balancing._allotments import (
+    AllotmentDecision,
+    AllotmentPolicy,
+    EqualShares,
+    FleetView,
+    LimitItem,
+    LimitNotice,
+    OutgoingMessage,
+    UsageItem,
+    UsageReport,
+    account_id,
+)
 from boragegw.balancing._budget import ProbeBudget, RetryBudget, SlidingWindowCounter
 from boragegw.balancing._hedging import LatencyHedgePolicy
 from boragegw.balancing._policies import DISABLING_PARAMETERS, POLICIES, PolicySettings
@@ -42,14 +54,20 @@
     "DISABLING_PARAMETERS",
     "POLICIES",
     "SLOWNESS_THRESHOLD",
-    "AccountTable",
+    "AdmittedShares",
+    "AllotmentDecision",
+    "AllotmentPolicy",
     "CallerLimits",
-    "ClientAccount",
     "Configuration",
+    "EqualShares",
     "FailureRate",
+    "FleetView",
+    "LimitItem",
+    "LimitNotice",
     "LatencyHedgePolicy",
     "Listing",
     "LoadReport",
+    "OutgoingMessage",
     "PolicySettings",
     "PriorityDistribution",
     "ProbeBudget",
@@ -66,13 +84,16 @@
     "SheddingPolicy",
     "SlidingWindowCounter",
     "SlownessEstimator",
+    "UsageItem",
+    "UsageReport",
     "WaitingCounts",
     "WarmupPolicy",
     "WeightedRoundRobin",
     "WeightedService",
+    "account_id",
     "available_servers",
     "eligible_servers",
     "expected_latency",
-    "key_digest",
     "normalize_host",
+    "owners_of",
 ]
--- /dev/null
+++ b/boragegw/balancing/_admitted_shares.py
@@ -0,0 +1,463 @@
+"""Allotments by central counts: owners of accounts tell all what share to admit."""
+
+import dataclasses
+import math
+
+from boragegw import utils
+from boragegw.balancing import _allotments
+
+#: Time constant in seconds of the average of an account's request rate.
+RATE_SECONDS = 0.5
+#: Seconds in which the tokens of an account are used up, or its overdraft is repaid.
+BALANCE_SECONDS = 0.5
+#: Shortest time in seconds between two notices of an account's share, the time after
+#: which it is repeated, and the change from which it is news.
+NOTICE_SECONDS = 0.2
+NOTICE_REPEAT_SECONDS = 0.5
+NOTICE_CHANGE = 0.1
+#: Notices that tell that an account is not limited any more.
+FINAL_NOTICES = 2
+#: Seconds for which a share is valid that is not confirmed. Owners that have died are
+#: replaced within 2 s.
+SHARE_SECONDS = 3.0
+#: Reports per second that the owner of an account gets at its limit. Beyond it, a
+#: report stands for several requests.
+REPORTS_PER_SECOND = 200.0
+#: Maximum number of items in a datagram of 1,200 bytes.
+ITEMS_PER_MESSAGE = 40
+#: Constants of the multiplicative hash of 64 bits that chooses the owners.
+RANK_MULTIPLIER = 0x9E3779B97F4A7C15
+RANK_MASK = (1 << 64) - 1
+#: Maximum number of processes whose sequence numbers are kept.
+MAX_SENDERS = 20_000
+
+
+@dataclasses.dataclass(slots=True)
+class _Usage:
+    """Requests of an account that have not been reported yet.
+
+    :param threshold: number of offered requests from which they are reported.
+    """
+
+    offered: int = 0
+    admitted: int = 0
+    threshold: int = 1
+
+
+@dataclasses.dataclass(slots=True)
+class _Share:
+    """The share of an account's requests that an owner has told."""
+
+    share: float
+    offered_rate: float
+    told_at: float
+
+
+#: The fleet as it counts for the whole limit, which no process exceeds by itself.
+_SINGLE = _allotments.FleetView("", {}, 1)
+
+
+class _Balance:
+    """Tokens and request rate of an account, as its owner counts them.
+
+    :ivar tokens: negative if more requests were admitted than the limit allows.
+    """
+
+    def __init__(self, tokens, now):
+        self.tokens = tokens
+        self.rate = 0.0
+        self.share = 1.0
+        self.refilled_at = now
+        self.told_share = 1.0
+        self.told_at = -math.inf
+        self.final_notices = 0
+        self.updated_at = now
+
+    def add(self, offered, admitted, now):
+        """Count reported requests."""
+        self._decay(now)
+        self.rate = max(0.0, self.rate + offered / RATE_SECONDS)
+        self.tokens -= admitted
+
+    def _decay(self, now):
+        elapsed = now - self.updated_at
+        if elapsed > 0:
+            self.rate *= math.exp(-elapsed / RATE_SECONDS)
+            self.updated_at = now
+
+    def update_share(self, allowed_rate, capacity, now):
+        """Refill the tokens and compute the share of the requests to admit."""
+        elapsed = max(0.0, now - self.refilled_at)
+        self.refilled_at = now
+        self.tokens = min(capacity, self.tokens + elapsed * allowed_rate)
+        self._decay(now)
+        affordable = max(0.0, allowed_rate + self.tokens / BALANCE_SECONDS)
+        self.share = 1.0 if self.rate <= affordable else affordable / self.rate
+
+    def is_news_due(self, now):
+        """Return whether the share is to be told now, and record that it is."""
+        since = now - self.told_at
+        if since < NOTICE_SECONDS:
+            return False
+        is_changed = abs(self.share - self.told_share) > NOTICE_CHANGE * self.told_share
+        if self.share < 1.0:
+            is_due = is_changed or since >= NOTICE_REPEAT_SECONDS
+            self.final_notices = FINAL_NOTICES
+        else:
+            is_due = self.final_notices > 0
+            self.final_notices -= is_due
+        if is_due:
+            self.told_share = self.share
+            self.told_at = now
+        return is_due
+
+
+class UsageLedger:
+    """Balances of the accounts whose requests are reported to this process.
+
+    :param capacity: function from an account to the maximum number of tokens.
+    :param initial_tokens: tokens of an account of which nothing is known, and those
+        that have come since the start of the process: after a restart of all
+        processes, nobody gets the burst a second time.
+    :param now: monotonic seconds of the start of the process.
+    """
+
+    def __init__(self, capacity, initial_tokens, now):
+        self.capacity = capacity
+        self.initial_tokens = initial_tokens
+        self._started_at = now
+        self._accounts = {}
+        self._balances = {}
+        self._sequences = utils.BoundedDict(MAX_SENDERS)
+
+    def update_accounts(self, accounts):
+        """Replace the accounts and forget the balances of those that are gone."""
+        self._accounts = {_allotments.account_id(a.name): a for a in accounts}
+        self._balances = {
+            k: b for k, b in self._balances.items() if k in self._accounts
+        }
+
+    def is_news(self, message):
+        """Return whether a message is later than all others of its sender."""
+        key = (message.sender, message.incarnation)
+        if message.sequence <= self._sequences.get(key, -1):
+            return False
+        self._sequences.add(key, message.sequence)
+        return True
+
+    def apply(self, item, is_limited, now):
+        """Count the requests of a :class:`~boragegw.balancing.UsageItem`.
+
+        :param is_limited: whether another owner has limited the account. It has then
+            used up its tokens, although nothing may be known of it here.
+        """
+        account = self._accounts.get(item.account)
+        if account is None:
+            return
+        balance = self._balances.get(item.account)
+        if balance is None:
+            earned = account.rate * (now - self._started_at)
+            tokens = min(self.capacity(account), self.initial_tokens + earned)
+            tokens = 0.0 if is_limited else tokens
+            balance = self._balances[item.account] = _Balance(tokens, now)
+        balance.add(item.offered, item.admitted, now)
+
+    def due_items(self, visible_share, now):
+        """Return a :class:`~boragegw.balancing.LimitItem` for each share to tell.
+
+        :param visible_share: share of the processes whose requests are counted here.
+            The others may be counting against the rest of the limit.
+        """
+        items = []
+        for key, balance in list(self._balances.items()):
+            account = self._accounts[key]
+            capacity = self.capacity(account) * visible_share
+            balance.update_share(account.rate * visible_share, capacity, now)
+            if balance.is_news_due(now):
+                share, rate = round(balance.share, 4), round(balance.rate, 2)
+                items.append(_allotments.LimitItem(key, share, rate))
+            elif balance.tokens >= capacity and balance.rate < 0.01:
+                del self._balances[key]
+        return items
+
+    def clear(self):
+        """Forget all balances."""
+        self._balances.clear()
+
+
+class AdmittedShares(_allotments.AllotmentPolicy):
+    """Admits all requests until an account nears its limit, then a share of them.
+
+    Each process reports the requests of an account to its owners, two processes that
+    all choose alike. The owners keep the account's tokens. Once it sends more than
+    they allow, they tell all processes what share of its requests to admit. An account
+    within its limit causes no waiting and is not refused, however its requests are
+    spread over the processes. No process admits more than the whole limit by itself,
+    and one that sees no other one has an equal share of it.
+
+    Answers an account at many times its usual load, with hundreds of processes that
+    each get few of its requests.
+
+    :param tolerance_share: share of the tolerance that is added to the burst. Shares
+        are told late by some tenths of a second, so that some of it must remain.
+    :param started_at: monotonic seconds of the start of the process.
+    :param incarnation: number of this start of the process.
+    """
+
+    _parameter_constraints = {
+        **_allotments.AllotmentPolicy._parameter_constraints,
+        "tolerance_share": utils.Interval(float, 0, 1),
+    }
+
+    def __init__(
+        self,
+        window=5.0,
+        overshoot=0.25,
+        slack=20.0,
+        tolerance_share=0.3,
+        started_at=0.0,
+        incarnation=0,
+    ):
+        super().__init__(window, overshoot, slack)
+        self.tolerance_share = tolerance_share
+        self.started_at = started_at
+        self.incarnation = incarnation
+        self._ledger = UsageLedger(self._capacity, tolerance_share * slack, started_at)
+        self._alone = None
+        self._whole_limit = self._make_local_policy()
+        self._usages = {}
+        self._due = set()
+        self._owners = {}
+        self._owners_view = None
+        self._shares = {}
+        self._credits = {}
+        self._sequence = 0
+        self._thresholds = {}
+
+    def _capacity(self, account):
+        return account.burst + self.tolerance_share * self.tolerance(account)
+
+    def admit(self, account, fleet, now, random_state):
+        """Admit all, or the share that the account's owners have told."""
+        self._check_params()
+        key = _allotments.account_id(account.name)
+        usage = self._usage(account, key, random_state)
+        usage.offered += 1
+        if usage.offered >= usage.threshold:
+            self._due.add(key)
+        decision = self._decide(account, key, fleet, now, random_state)
+        usage.admitted += decision.is_admitted
+        return decision
+
+    def _usage(self, account, key, random_state):
+        """Return the unreported requests; at first, a random number counts as reported.
+
+        Otherwise all processes would send their first report at the same time.
+        """
+        usage = self._usages.get(key)
+        if usage is None:
+            threshold = max(1, round(account.rate / REPORTS_PER_SECOND))
+            usage = self._usages[key] = _Usage(threshold=threshold)
+            usage.threshold = random_state.randint(1, threshold)
+        return usage
+
+    def _decide(self, account, key, fleet, now, random_state):
+        if fleet.is_alone:
+            return self._decide_alone(account, fleet, now, random_state)
+        self._alone = None
+        share = self._lowest_share(key, now)
+        if share is None:
+            return self._whole_limit.admit(account, _SINGLE, now, random_state)
+        credit = self._credits.get(key)
+        credit = random_state.random() if credit is None else credit
+        credit += share.share
+        is_admitted = credit >= 1.0
+        self._credits[key] = credit - is_admitted
+        return _allotments.AllotmentDecision(
+            is_admitted,
+            _retry_after(share.share),
+            share.share,
+            share.offered_rate,
+            now - share.told_at,
+        )
+
+    def _make_local_policy(self, started_at=None):
+        return _allotments.EqualShares(
+            self.window,
+            self.overshoot,
+            self.slack,
+            self.tolerance_share,
+            started_at=started_at,
+        )
+
+    def _decide_alone(self, account, fleet, now, random_state):
+        if self._alone is None:
+            self._alone = self._make_local_policy(self.started_at)
+        return self._alone.admit(account, fleet, now, random_state)
+
+    def _lowest_share(self, key, now):
+        """Return the lowest valid share that an owner has told, or ``None``."""
+        told = self._shares.get(key)
+        if told is None:
+            return None
+        valid = [s for s in told.values() if now < s.told_at + SHARE_SECONDS]
+        if not valid:
+            del self._shares[key]
+            self._credits.pop(key, None)
+            return None
+        return min(valid, key=lambda share: share.share)
+
+    def refund(self, account):
+        """Report the request as never offered."""
+        usage = self._usages.get(_allotments.account_id(account.name))
+        if usage is not None:
+            usage.offered -= 1
+            usage.admitted -= 1
+            self._due.add(_allotments.account_id(account.name))
+        for policy in self._local_policies():
+            policy.refund(account)
+
+    def _local_policies(self):
+        return [p for p in (self._whole_limit, self._alone) if p is not None]
+
+    def update_accounts(self, accounts):
+        """Replace the accounts; forget what is known of those that are gone."""
+        self._ledger.update_accounts(accounts)
+        for policy in self._local_policies():
+            policy.update_accounts(accounts)
+        keys = {_allotments.account_id(account.name) for account in accounts}
+        for known in (self._usages, self._shares, self._credits, self._owners):
+            for key in [key for key in known if key not in keys]:
+                del known[key]
+        self._due &= keys
+        self._thresholds = {
+            _allotments.account_id(a.name): max(1, round(a.rate / REPORTS_PER_SECOND))
+            for a in accounts
+        }
+
+    # Messages.
+
+    def take_messages(self, fleet, now):
+        """Return reports to the owners of accounts, and notices as an owner."""
+        if fleet.is_alone:
+            self._forget_counts()
+            return []
+        messages = self._take_reports(fleet, now)
+        items = self._ledger.due_items(fleet.visible_share, now)
+        for part in _parts(items):
+            notice = _allotments.LimitNotice(
+                fleet.own_name, self.incarnation, self._next_sequence(), part
+            )
+            self._apply_notice(notice, now)
+            messages.append(_allotments.OutgoingMessage(None, notice))
+        return messages
+
+    def _take_reports(self, fleet, now):
+        by_owner = {}
+        for key in self._due:
+            usage = self._usages[key]
+            item = _allotments.UsageItem(key, usage.offered, usage.admitted)
+            usage.offered = usage.admitted = 0
+            usage.threshold = self._thresholds.get(key, 1)
+            for owner in self._owners_of(key, fleet):
+                by_owner.setdefault(owner, []).append(item)
+        self._due.clear()
+        own_items = by_owner.pop(fleet.own_name, ())
+        self._count(own_items, now)
+        return [
+            _allotments.OutgoingMessage(
+                owner,
+                _allotments.UsageReport(
+                    fleet.own_name, self.incarnation, self._next_sequence(), part
+                ),
+            )
+            for owner, items in by_owner.items()
+            for part in _parts(items)
+        ]
+
+    def _owners_of(self, key, fleet):
+        if self._owners_view is not fleet.data_centres:
+            self._owners.clear()
+            self._owners_view = fleet.data_centres
+        owners = self._owners.get(key)
+        if owners is None:
+            owners = self._owners[key] = owners_of(key, fleet)
+        return owners
+
+    def _forget_counts(self):
+        """Forget what was counted while no other process was in sight.
+
+        It says nothing about the accounts' requests to all processes.
+        """
+        self._ledger.clear()
+        self._usages.clear()
+        self._due.clear()
+
+    def _next_sequence(self):
+        self._sequence += 1
+        return self._sequence
+
+    def apply_message(self, message, fleet, now):
+        """Apply a report as an owner, or a notice of an owner."""
+        if not self._ledger.is_news(message):
+            return []
+        if isinstance(message, _allotments.UsageReport):
+            self._count(message.items, now)
+        else:
+            self._apply_notice(message, now)
+        return []
+
+    def _count(self, items, now):
+        for item in items:
+            self._ledger.apply(item, item.account in self._shares, now)
+
+    def _apply_notice(self, notice, now):
+        for item in notice.items:
+            told = self._shares.setdefault(item.account, {})
+            told[notice.sender] = _Share(item.share, item.offered_rate, now)
+            if item.share >= 1.0:
+                del told[notice.sender]
+            if not told:
+                del self._shares[item.account]
+                self._credits.pop(item.account, None)
+
+
+def owners_of(key, fleet):
+    """Return the names of an account's owners, in different data centres if possible.
+
+    :param key: see :func:`~boragegw.balancing.account_id`.
+    """
+    data_centres = fleet.data_centres
+    first = max(data_centres, key=lambda name: _rank(key, name))
+    elsewhere = [n for n, dc in data_centres.items() if dc != data_centres[first]]
+    others = elsewhere or [name for name in data_centres if name != first]
+    if not others:
+        return [first]
+    return [first, max(others, key=lambda name: _rank(key, name))]
+
+
+def _rank(key, name):
+    """Return the rank of a process in rendezvous hashing.
+
+    A multiplicative hash is enough to spread the accounts, and is ten times faster than
+    a digest.
+    """
+    mixed = (key ^ utils.stable_hash(name)) * RANK_MULTIPLIER & RANK_MASK
+    return mixed ^ (mixed >> 32)
+
+
+def _parts(items):
+    return [
+        items[start : start + ITEMS_PER_MESSAGE]
+        for start in range(0, len(items), ITEMS_PER_MESSAGE)
+    ]
+
+
+def _retry_after(share):
+    """Return the seconds after which the requests refused meanwhile could be served.
+
+    While a share is admitted, the account sends ``1 / share`` times what it may. What
+    it sends in the interval of the notices takes that much longer.
+    """
+    seconds = NOTICE_SECONDS * (1.0 / max(share, 0.01) - 1.0)
+    return min(max(_allotments.MIN_RETRY_AFTER, seconds), _allotments.MAX_RETRY_AFTER)
--- a/boragegw/balancing/_policies.py
+++ b/boragegw/balancing/_policies.py
@@ -2,6 +2,7 @@
 
 from boragegw import utils
 from boragegw.balancing import (
+    _admitted_shares,
     _hedging,
     _priorities,
     _probing,
@@ -12,6 +13,7 @@
 
 #: Policies with configurable parameters, by their name in the settings.
 POLICIES = {
+    "allotments": _admitted_shares.AdmittedShares,
     "asking": _probing.ProbingPolicy,
     "hedging": _hedging.LatencyHedgePolicy,
     "pace": _slowness.SlownessEstimator,
--- a/boragegw/balancing/_routing.py
+++ b/boragegw/balancing/_routing.py
@@ -158,7 +158,7 @@
 
     :param version: a greater version replaces a smaller one.
     :param services: :class:`ServiceSettings` by name.
-    :param accounts: an :class:`~boragegw.balancing.AccountTable`; ``None`` if requests
+    :param accounts: an :class:`~boragegw.accounts.AccountTable`; ``None`` if requests
         need no API keys.
     """
 
--- a/boragegw/cli/tests/test_commands.py
+++ b/boragegw/cli/tests/test_commands.py
@@ -171,6 +171,10 @@
             "high",
             "high",
             "high",
+            "acme",
+            "key-1, key-2",
+            "12",
+            "",
         ]
     )
     shown = []
@@ -181,15 +185,21 @@
     configuration.check_answers(answers, path)
     assert answers.data_centres == ["dc-a", "dc-b", "dc-c"]
     assert answers.services[0].requests[0].repeatable is False
+    (account,) = answers.accounts
+    assert (account.name, account.rate_per_s) == ("acme", 12.0)
+    assert account.api_keys == ["key-1", "key-2"]
     before = path.read_bytes()
-    _questionnaire.ask_questions(path, lambda prompt: "", shown.append)
+    prompts = []
+    _questionnaire.ask_questions(path, lambda p: prompts.append(p) or "", shown.append)
     assert path.read_bytes() == before
+    assert not any("key-1" in prompt for prompt in prompts)
 
 
 #: From the lowest layer to the highest.
 LAYERS = (
     "utils",
     "errors",
+    "accounts",
     "messages",
     "blackboard",
     "configuration",
--- a/boragegw/gateway/__init__.py
+++ b/boragegw/gateway/__init__.py
@@ -20,7 +20,7 @@
 )
 from boragegw.gateway._caller_connection import BodyMemory, CallerConnection, Request
 from boragegw.gateway._catalogue import Catalogue
-from boragegw.gateway._dialect import CredentialsError, Dialect, HealthResponse
+from boragegw.gateway._dialect import Dialect, HealthResponse
 from boragegw.gateway._directory import DirectoryPolicy
 from boragegw.gateway._endpoint import Endpoint, EndpointResponse, path_of, query_of
 from boragegw.gateway._event_log import EventLog
@@ -63,7 +63,6 @@
     "AdmissionControl",
     "Blackboard",
     "CallerIdentity",
-    "CredentialsError",
     "RejectedError",
     "Rejection",
     "BodyMemory",
--- a/boragegw/gateway/_admission.py
+++ b/boragegw/gateway/_admission.py
@@ -3,8 +3,7 @@
 import dataclasses
 import enum
 
-from boragegw import balancing
-from boragegw.gateway import _dialect
+from boragegw import accounts, balancing
 
 #: Retry-After in seconds for a request whose API key has moved to another account since
 #: it was admitted.
@@ -20,6 +19,7 @@
     BEHIND = "behind", 503
     MOVED_KEY = "moved_key", 503
     NO_ROUTE = "no_route", 404
+    OVER_LIMIT = "over_limit", 429
     NO_SERVICE = "no_service", 503
     QUARANTINED = "quarantined", 503
     UNAUTHORIZED = "unauthorized", 401
@@ -37,26 +37,30 @@
     :param retry_after: seconds after which the caller may retry, or ``None``.
     :param detail: more about the reason, for the log.
     :param is_final: whether a later configuration cannot change the decision.
+    :param fields: figures behind the decision by name, for the log.
     """
 
-    def __init__(self, rejection, retry_after=None, detail="", is_final=False):
+    def __init__(
+        self, rejection, retry_after=None, detail="", is_final=False, fields=None
+    ):
         super().__init__(detail or rejection.counter)
         self.rejection = rejection
         self.retry_after = retry_after
         self.detail = detail
         self.is_final = is_final
+        self.fields = fields or {}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerIdentity:
     """Who sent a request.
 
-    :param account: the :class:`~boragegw.balancing.ClientAccount`, or ``None``.
+    :param account: the :class:`~boragegw.accounts.ClientAccount`, or ``None``.
     :param has_accounts: whether client accounts are configured. The credentials are
         then meant for this process and are not passed on.
     """
 
-    account: balancing.ClientAccount | None = None
+    account: accounts.ClientAccount | None = None
     has_accounts: bool = False
 
     @property
@@ -77,23 +81,57 @@
 
 
 class AdmissionControl:
-    """Finds the route and the client account of a request.
+    """Finds the route and the client account of a request, and checks its limit.
 
     :param board: the :class:`Blackboard`; there has to be a configuration.
     :param dialect: a :class:`Dialect`.
+    :param allotments: an :class:`AllotmentExchange`.
     """
 
-    def __init__(self, board, dialect):
+    def __init__(self, board, dialect, allotments):
         self.board = board
         self.dialect = dialect
+        self.allotments = allotments
 
     def admit(self, request):
-        """Return the :class:`Admission` of a request.
+        """Return the :class:`Admission` of a request, and count it for its account.
 
-        :raises RejectedError: if no route matches it, or its API key is not valid.
+        :raises RejectedError: if no route matches it, its API key is not valid, or its
+            account is over its limit.
         """
         route = self._match(request)
-        return Admission(route, self._identify(request, route))
+        identity = self._identify(request, route)
+        if identity.account is not None:
+            self._check_limit(identity.account)
+        return Admission(route, identity)
+
+    def _check_limit(self, account):
+        if not account.is_limited:
+            self.board.accounts.observe(account.name, True)
+            return
+        decision = self.allotments.admit(account)
+        self.board.accounts.observe(account.name, decision.is_admitted)
+        if decision.is_admitted:
+            return
+        raise RejectedError(
+            Rejection.OVER_LIMIT,
+            decision.retry_after,
+            is_final=True,
+            fields={
+                "account": account.name,
+                "rate": account.rate,
+                "burst": account.burst,
+                "offered": decision.offered_rate,
+                "share": decision.share,
+                "age": round(decision.age, 3),
+            },
+        )
+
+    def refund(self, admission):
+        """Take back an admission whose request has not run."""
+        account = admission.identity.account
+        if account is not None and account.is_limited:
+            self.allotments.refund(account)
 
     def _match(self, request):
         host = (request.header(b"host") or b"").decode("latin-1")
@@ -105,18 +143,18 @@
 
     def _identify(self, request, route):
         """Return the :class:`CallerIdentity` by the configuration that is in force."""
-        accounts = self.board.configuration.accounts
-        if accounts is None:
+        table = self.board.configuration.accounts
+        if table is None:
             return CallerIdentity()
         try:
             key = self.dialect.api_key(request.headers)
-        except _dialect.CredentialsError as error:
+        except accounts.CredentialsError as error:
             if route.anonymous:
                 return CallerIdentity(has_accounts=True)
             raise RejectedError(
                 Rejection.UNAUTHORIZED, detail=str(error), is_final=True
             ) from error
-        account = accounts.find(balancing.key_digest(key))
+        account = table.find(accounts.key_digest(key))
         if account is None and not route.anonymous:
             raise RejectedError(Rejection.UNAUTHORIZED, detail="unknown API key")
         return CallerIdentity(account, has_accounts=True)
--- a/boragegw/gateway/_blackboard.py
+++ b/boragegw/gateway/_blackboard.py
@@ -4,7 +4,7 @@
 import collections
 import dataclasses
 
-from boragegw.gateway import _metrics
+from boragegw.gateway import _account_counts, _metrics
 
 
 @dataclasses.dataclass(slots=True)
@@ -27,6 +27,7 @@
         Writer: the membership.
     :param stopping: whether a graceful shutdown has begun. Writer: the process.
     :param counters: by name, see :data:`~boragegw.gateway.COUNTERS`. Writers: all.
+    :param accounts: requests by client account. Writer: the request path.
     :param histograms: :class:`~boragegw.gateway.Histogram` by name. Writer: the request
         path.
     """
@@ -43,6 +44,9 @@
     counters: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
+    accounts: _account_counts.AccountCounts = dataclasses.field(
+        default_factory=_account_counts.AccountCounts
+    )
     histograms: dict = dataclasses.field(
         default_factory=lambda: {n: _metrics.Histogram() for n in _metrics.HISTOGRAMS}
     )
--- a/boragegw/gateway/_dialect.py
+++ b/boragegw/gateway/_dialect.py
@@ -20,13 +20,6 @@
     cold_for: float | None
 
 
-class CredentialsError(Exception):
-    """A request has no credentials in the expected form.
-
-    The message says why, without any part of the credentials.
-    """
-
-
 class Dialect(abc.ABC):
     """Header names and meaning of responses on one platform."""
 
@@ -42,7 +35,8 @@
     def api_key(self, headers):
         """Return the caller's API key in bytes.
 
-        :raises CredentialsError: if there is not exactly one, in the expected form.
+        :raises ~boragegw.accounts.CredentialsError: if there is not exactly one, in the
+            expected form.
         """
 
     @abc.abstractmethod
--- a/boragegw/gateway/_forwarder.py
+++ b/boragegw/gateway/_forwarder.py
@@ -55,6 +55,7 @@
     :param make_probe_budget: function that returns a new
         :class:`~boragegw.balancing.ProbeBudget`; each service has its own.
     :param policies: a :class:`~boragegw.balancing.PolicySettings`.
+    :param admission: an :class:`AdmissionControl`.
     :param now: function that returns monotonic seconds.
     :param log: an :class:`EventLog`.
     """
@@ -67,6 +68,7 @@
         make_retry_budget,
         make_probe_budget,
         policies,
+        admission,
         *,
         now,
         random_state,
@@ -82,9 +84,9 @@
         self.random_state = random_state
         self.log = log
         self.shedding = policies.make("shedding")
-        self.admission = _admission.AdmissionControl(board, dialect)
+        self.admission = admission
         self.sender = _sender.Sender(
-            board, dialect, selector, self.shedding, self.admission, now=now, log=log
+            board, dialect, selector, self.shedding, admission, now=now, log=log
         )
         self._services = {}
         self._traffic_splits = {}
@@ -190,6 +192,7 @@
             reason=rejection.counter,
             detail=error.detail,
             retry_after=error.retry_after,
+            **error.fields,
             after=round(self.now() - request.arrived, 4),
         )
 
@@ -458,6 +461,8 @@
         now = self.now()
         status = self._failure_status(call, now)
         retry_after = None
+        if status in (401, 503):
+            self.admission.refund(call.admission)
         if status == 503:
             retry_after = self.shedding.retry_after(call.route)
         self.board.counters[f"requests.failed.{status}"] += 1
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -7,6 +7,8 @@
 
 from boragegw import balancing
 from boragegw.gateway import (
+    _admission,
+    _allotment_exchange,
     _caller_connection,
     _catalogue,
     _directory,
@@ -51,6 +53,9 @@
     :param retry_budget_slack: see there; requests.
     :param probe_rate: probes per second to each backend server, of all gateway
         processes together.
+    :param quota_window: see :class:`~boragegw.balancing.AllotmentPolicy`; seconds.
+    :param quota_overshoot: see there.
+    :param quota_slack: see there; requests.
     :param policies: policy parameters that differ from their defaults, see
         :class:`~boragegw.balancing.PolicySettings`.
     """
@@ -67,6 +72,9 @@
     retry_budget_window: float = 10.0
     retry_budget_slack: float = 50.0
     probe_rate: float = 60.0
+    quota_window: float = 5.0
+    quota_overshoot: float = 0.25
+    quota_slack: float = 20.0
     policies: dict = dataclasses.field(default_factory=dict)
 
 
@@ -120,6 +128,27 @@
             policies.make("warmup"),
             **randomized,
         )
+        self.local_member = _peer_messages.Member(
+            name=settings.name,
+            incarnation=int.from_bytes(os.urandom(8), "big") >> 1,
+            beat=0,
+            data_centre=settings.data_centre,
+            caller_address=_join_address(settings.caller_address),
+            peer_address=_join_address(settings.peer_address),
+            link_mbps=settings.link_mbps,
+            replica_format=_peer_messages.REPLICA_FORMAT,
+            membership_format=_peer_messages.MEMBERSHIP_FORMAT,
+        )
+        self.membership = _membership.Membership(
+            self.board, self.local_member, self._seed_addresses, **randomized
+        )
+        self.allotments = _allotment_exchange.AllotmentExchange(
+            self.board,
+            self._make_allotment_policy(policies),
+            self.membership,
+            now=self.now,
+            random_state=self.random_state,
+        )
         self.forwarder = _forwarder.Forwarder(
             self.board,
             self.dialect,
@@ -127,6 +156,7 @@
             self._make_retry_budget,
             lambda: balancing.ProbeBudget(settings.probe_rate),
             policies,
+            _admission.AdmissionControl(self.board, self.dialect, self.allotments),
             **randomized,
         )
         self.catalogue = _catalogue.Catalogue(
@@ -136,20 +166,6 @@
             on_joined=self.selector.on_server_joined,
             **shared,
         )
-        self.local_member = _peer_messages.Member(
-            name=settings.name,
-            incarnation=int.from_bytes(os.urandom(8), "big") >> 1,
-            beat=0,
-            data_centre=settings.data_centre,
-            caller_address=_join_address(settings.caller_address),
-            peer_address=_join_address(settings.peer_address),
-            link_mbps=settings.link_mbps,
-            replica_format=_peer_messages.REPLICA_FORMAT,
-            membership_format=_peer_messages.MEMBERSHIP_FORMAT,
-        )
-        self.membership = _membership.Membership(
-            self.board, self.local_member, self._seed_addresses, **randomized
-        )
         self.follower = _follower.Follower(
             self.catalogue,
             self.membership,
@@ -166,6 +182,7 @@
         )
         self.directory = _directory.DirectoryPolicy()
         self.catalogue.on_change = self._announce_ready
+        self.membership.on_allotment = self.allotments.receive
         self.membership.on_crash = self.forwarder.sender.observe_crash
         self.forwarder.sender.broadcast_crash = self.membership.broadcast_crash
 
@@ -177,6 +194,17 @@
             settings.retry_budget_window,
         )
 
+    def _make_allotment_policy(self, policies):
+        settings = self.settings
+        return policies.make(
+            "allotments",
+            window=settings.quota_window,
+            overshoot=settings.quota_overshoot,
+            slack=settings.quota_slack,
+            started_at=self.now(),
+            incarnation=self.local_member.incarnation,
+        )
+
     def _peer_source(self, address):
         host, _, port = address.rpartition(":")
         return _replication.PeerSource(
@@ -295,6 +323,7 @@
     def _check_fleet(self):
         self.follower.check()
         self.membership.send_news()
+        self.allotments.send_messages()
 
     def _announce_ready(self):
         if self.board.ready and self.local_member.life == _peer_messages.Life.STARTING:
--- a/boragegw/gateway/_membership.py
+++ b/boragegw/gateway/_membership.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from boragegw import balancing
 from boragegw.gateway import (
     _composer,
     _failure_detector,
@@ -53,6 +54,7 @@
     :param local_member: this process's :class:`Member`, updated by its owner.
     :param seeds: function that returns the ``(host, port)`` pairs of the seeds.
     :ivar on_crash: called with the fingerprint of each :class:`CrashNotice`.
+    :ivar on_allotment: called with each message about allotments.
     """
 
     def __init__(self, board, local_member, seeds, *, now, log, random_state=None):
@@ -63,6 +65,7 @@
         self.log = log
         self.random_state = random_state or random.Random()
         self.on_crash = None
+        self.on_allotment = None
         self.roster = _roster.Roster(local_member, now=now, log=log)
         self.detector = _failure_detector.FailureDetector(
             self.roster, now=now, random_state=self.random_state
@@ -86,6 +89,8 @@
             _peer_messages.Heartbeat: self._handle_heartbeat,
             _peer_messages.Exchange: self._handle_exchange,
             _peer_messages.MemberRequest: self._handle_request,
+            balancing.UsageReport: self._handle_allotment,
+            balancing.LimitNotice: self._handle_allotment,
         }
 
     # Queries.
@@ -166,8 +171,13 @@
 
     def broadcast_crash(self, fingerprint):
         """Report to all live processes that a request crashed a backend server."""
-        datagram = self._encode(_peer_messages.CrashNotice(fingerprint))
-        for known in self.roster.alive():
+        notice = _peer_messages.CrashNotice(fingerprint)
+        self.send_message(self.roster.alive(), notice)
+
+    def send_message(self, targets, message):
+        """Send a message to each :class:`KnownPeer` of ``targets``."""
+        datagram = self._encode(message)
+        for known in targets:
             self._send(known.address, datagram)
 
     @property
@@ -355,6 +365,10 @@
         if self.on_crash is not None:
             self.on_crash(message.fingerprint)
 
+    def _handle_allotment(self, message, addr):
+        if self.on_allotment is not None:
+            self.on_allotment(message)
+
     def _handle_updates(self, message, addr):
         for index, update in enumerate(message.updates):
             self._apply_update(update, is_sender=index == 0)
--- a/boragegw/gateway/_metrics.py
+++ b/boragegw/gateway/_metrics.py
@@ -20,6 +20,7 @@
     "requests.behind": "requests with an unknown route or API key while others know a "
     "later revision",
     "requests.unauthorized": "requests without a known API key",
+    "requests.over_limit": "requests over the limit of their client account",
     "requests.moved_key": "requests whose API key has moved to another account",
     "requests.no_service": "requests whose route leads to no known service",
     "requests.unconfigured": "requests refused before the first configuration",
@@ -42,6 +43,7 @@
     "peers.datagrams_dropped": "datagrams dropped as foreign, damaged or repeated",
     "peers.send_errors": "datagrams that could not be delivered",
 }
+ACCOUNT_HELP = "requests of the largest client accounts, and of all others together"
 #: Label that holds the variable part of a counter's name.
 LABELS = {"requests.failed.*": "status", "requests.not_read.*": "status"}
 GAUGES = {
@@ -78,17 +80,19 @@
         self.sum += seconds
 
 
-def render_metrics(counters, gauges, histograms):
+def render_metrics(counters, gauges, histograms, accounts):
     """Return all metrics in the Prometheus text format, in bytes.
 
     :param counters: values by name; names are those of :data:`COUNTERS`.
     :param gauges: values by name; names are those of :data:`GAUGES`.
     :param histograms: :class:`Histogram` by name; names are those of
         :data:`HISTOGRAMS`.
+    :param accounts: pairs of name and :class:`AccountCount`.
     """
     lines = []
     for name, help_text in COUNTERS.items():
         lines += _counter_lines(name, help_text, counters)
+    lines += _account_lines(accounts)
     for name, help_text in GAUGES.items():
         lines += _header_lines(name, "gauge", help_text)
         lines.append(f"{PREFIX}{name} {gauges[name]}")
@@ -116,6 +120,19 @@
             yield f'{PREFIX}{metric}{{{label}="{value}"}} {counters[counter]}'
 
 
+def _account_lines(accounts):
+    metric = "account_requests_total"
+    yield from _header_lines(metric, "counter", ACCOUNT_HELP)
+    for name, count in accounts:
+        label = name.replace("\\", "\\\\").replace('"', '\\"')
+        for outcome, number in (
+            ("admitted", count.admitted),
+            ("refused", count.refused),
+        ):
+            labels = f'account="{label}",outcome="{outcome}"'
+            yield f"{PREFIX}{metric}{{{labels}}} {number}"
+
+
 def _histogram_lines(name, histogram):
     total = 0
     for bound, count in zip((*BUCKETS, "+Inf"), histogram.counts, strict=True):
--- a/boragegw/gateway/_peer_messages.py
+++ b/boragegw/gateway/_peer_messages.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from boragegw import balancing
+
 
 class Life(enum.IntEnum):
     """Stage in the life cycle of a process."""
@@ -15,8 +17,9 @@
 
 #: Version of the format in which this process replicates records to its peers.
 REPLICA_FORMAT = 1
-#: Version of the membership protocol: processes with 0 know only heartbeats.
-MEMBERSHIP_FORMAT = 1
+#: Version of the membership protocol: processes with 0 know only heartbeats, those with
+#: 1 no messages about allotments.
+MEMBERSHIP_FORMAT = 2
 
 
 class Member(msgspec.Struct, array_like=True, omit_defaults=True):
@@ -162,4 +165,12 @@
 
 
 #: Any of the datagrams.
-Datagram = Heartbeat | UpdateBatch | CrashNotice | Exchange | MemberRequest
+Datagram = (
+    Heartbeat
+    | UpdateBatch
+    | CrashNotice
+    | Exchange
+    | MemberRequest
+    | balancing.UsageReport
+    | balancing.LimitNotice
+)
--- a/boragegw/platform/_dialect.py
+++ b/boragegw/platform/_dialect.py
@@ -1,7 +1,7 @@
 """Formats requests and interprets responses as the platform defines them."""
 
-from boragegw import balancing, gateway
-from boragegw.platform import _schemas, _wire_names
+from boragegw import accounts, balancing, gateway
+from boragegw.platform import _wire_names
 
 #: Hop-by-hop headers and headers that this process sets itself.
 HEADERS_NOT_FORWARDED = frozenset(
@@ -22,9 +22,6 @@
         _wire_names.ACCOUNT,
     )
 )
-#: Scheme of the credentials in lower case, and the maximum length of an API key.
-BEARER = b"bearer"
-MAX_KEY_BYTES = _schemas.MAX_HEADER_TEXT
 MISDIRECTED_REQUEST = 421
 REASON_PHRASES = {
     400: "Bad Request",
@@ -54,16 +51,9 @@
 
     def api_key(self, headers):
         """Return the key of the only Authorization header, ``Bearer KEY``."""
-        values = [value for name, value in headers if name == _wire_names.AUTHORIZATION]
-        if len(values) != 1:
-            raise gateway.CredentialsError(f"{len(values)} Authorization headers")
-        scheme, _, key = values[0].strip(b" \t").partition(b" ")
-        if scheme.lower() != BEARER:
-            raise gateway.CredentialsError("the scheme is not Bearer")
-        key = key.lstrip(b" ")
-        if not key or len(key) > MAX_KEY_BYTES or not _is_printable(key):
-            raise gateway.CredentialsError("malformed API key")
-        return key
+        return accounts.bearer_key(
+            [value for name, value in headers if name == _wire_names.AUTHORIZATION]
+        )
 
     def request_head(self, request, server, seconds_left, identity):
         """Return the request line and headers of a request to ``server``."""
@@ -163,11 +153,6 @@
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
 
-def _is_printable(text):
-    """Return whether bytes are printable ASCII characters without spaces."""
-    return all(0x21 <= byte <= 0x7E for byte in text)
-
-
 def _header_value(headers, name):
     for header_name, value in headers:
         if header_name == name:
--- a/boragegw/platform/_document_decoder.py
+++ b/boragegw/platform/_document_decoder.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from boragegw import balancing, gateway
+from boragegw import accounts, balancing, gateway
 from boragegw.platform import _schemas, _wire_names
 
 #: An ``upload`` has a large body and is executed at most once.
@@ -76,8 +76,8 @@
             return None
         decode = self._part_decoder.decode
         decoded = (decode(_schemas.WireAccount, raw) for raw in raw_accounts)
-        table = balancing.AccountTable(
-            (_client_account(wire), list(self._api_keys(wire)))
+        table = accounts.AccountTable(
+            (_client_account(wire), list(self._key_digests(wire)))
             for wire in decoded
             if wire is not None
         )
@@ -85,11 +85,11 @@
             self.log.event("shared-api-key", holder=holder, other=other)
         return table
 
-    def _api_keys(self, wire):
-        """Yield the valid API keys of an account in bytes."""
+    def _key_digests(self, wire):
+        """Yield the digests of the valid API keys of an account."""
         for key in wire.api_keys:
             try:
-                yield msgspec.convert(key, _schemas.HeaderText).encode()
+                text = msgspec.convert(key, _schemas.HeaderText)
             except msgspec.ValidationError as error:
                 self.log.event(
                     "unreadable-part",
@@ -98,6 +98,8 @@
                     field="api_keys",
                     reason=str(error),
                 )
+            else:
+                yield accounts.key_digest(text.encode())
 
     def _to_route(self, wire):
         """Return a route; one without valid services is kept, with no services.
@@ -166,7 +168,7 @@
 
 
 def _client_account(wire):
-    return balancing.ClientAccount(
+    return accounts.ClientAccount(
         name=wire.name, priority=wire.priority, rate=wire.rate_per_s, burst=wire.burst
     )
 
--- a/boragegw/platform/_endpoints.py
+++ b/boragegw/platform/_endpoints.py
@@ -97,5 +97,7 @@
             "store_lag": process.follower.lag,
             "connections": len(process.connections),
         }
-        text = gateway.render_metrics(board.counters, gauges, board.histograms)
+        text = gateway.render_metrics(
+            board.counters, gauges, board.histograms, board.accounts.largest()
+        )
         return gateway.EndpointResponse(200, text, gateway.CONTENT_TYPE)
--- a/boragegw/platform/_schemas.py
+++ b/boragegw/platform/_schemas.py
@@ -4,14 +4,14 @@
 
 import msgspec
 
+from boragegw import accounts
+
 #: Value of ``max_attempts`` if a route does not set it.
 DEFAULT_MAX_ATTEMPTS = 2
 #: Value of ``warmup_per_s`` if a service does not set it: no slow start is needed.
 UNLIMITED_WARM_UP_RATE = 1e6
 #: Timeout of a route that does not set one, in seconds.
 DEFAULT_TIMEOUT = 60.0
-#: Maximum number of characters in the name or the API key of a client account.
-MAX_HEADER_TEXT = 1024
 #: Values that replace invalid fields where the default of a missing field could permit
 #: more than the writer intended.
 CONSERVATIVE_VALUES = {
@@ -26,7 +26,7 @@
 NonNegativeInt = typing.Annotated[int, msgspec.Meta(ge=0)]
 #: Text that can be sent in a header: printable ASCII characters without spaces.
 HeaderText = typing.Annotated[
-    str, msgspec.Meta(pattern=r"^[\x21-\x7e]+\Z", max_length=MAX_HEADER_TEXT)
+    str, msgspec.Meta(pattern=r"^[\x21-\x7e]+\Z", max_length=accounts.MAX_KEY_BYTES)
 ]
 PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
 
--- a/boragegw/platform/_settings.py
+++ b/boragegw/platform/_settings.py
@@ -139,6 +139,9 @@
             retry_budget_window=self.number("bounds.retry_window_s", 10.0),
             probe_rate=self.number("bounds.probes_per_s", 20.0),
             retry_budget_slack=self.number("bounds.retry_budget_slack", 20.0),
+            quota_window=self.number("bounds.quota_window_s", 5.0) or 5.0,
+            quota_overshoot=self.number("bounds.quota_overshoot", 0.25),
+            quota_slack=self.number("bounds.quota_slack", 20.0),
             policies=_load_policy_parameters(os.environ.get(POLICIES_VARIABLE, "")),
         )
 
--- a/boragegw/platform/tests/test_delayed_reports.py
+++ b/boragegw/platform/tests/test_delayed_reports.py
@@ -52,15 +52,7 @@
 
     async def kill(self, name):
         """Kill a process without a graceful stop."""
-        process = self.world.processes.pop(name)
-        for task in process._tasks:
-            task.remove_done_callback(process._on_task_done)
-            task.cancel()
-        for address in list(self.world.network.listeners):
-            if address[0] == name:
-                del self.world.network.listeners[address]
-        process.membership._transport.close()
-        self.world.network.blackhole_connections(name)
+        self.world.kill_gateway(name)
         await asyncio.sleep(4.0)
 
     def draining(self):
--- a/boragegw/standins/__init__.py
+++ b/boragegw/standins/__init__.py
@@ -10,6 +10,7 @@
   :class:`WireInstallation` and the other ``Wire`` classes.
 """
 
+from boragegw.standins._allotment_fleet import AccountLoad, AllotmentFleet
 from boragegw.standins._caller import Caller, CallerResponse
 from boragegw.standins._history_checks import ResponseEvent, find_violations
 from boragegw.standins._http_backend import BackendFaults, StandinBackend
@@ -47,6 +48,8 @@
 from boragegw.standins._wire_store import WireStore
 
 __all__ = [
+    "AccountLoad",
+    "AllotmentFleet",
     "CURRENT_HOST",
     "PEER_PORT",
     "STORE_ADDRESS",
--- a/boragegw/standins/_wire_installation.py
+++ b/boragegw/standins/_wire_installation.py
@@ -173,6 +173,18 @@
         self.processes[settings.gateway.name] = process
         return process
 
+    def kill_gateway(self, name):
+        """Kill a process without a graceful stop; its host falls silent."""
+        process = self.processes.pop(name)
+        for task in process._tasks:
+            task.remove_done_callback(process._on_task_done)
+            task.cancel()
+        for address in list(self.network.listeners):
+            if address[0] == name:
+                del self.network.listeners[address]
+        process.membership._transport.close()
+        self.network.blackhole_connections(name)
+
     # Callers.
 
     async def call(self, path="/x", method="GET", body=b"", to="gw-0", **fields):
