Entries: client accounts, API keys and limits at the own interface

The own interface did not know a caller's account. "configure" makes it from the answers, which hold the keys; errors, prompts and documents never show them. "check" names what is wrong: a name or a key twice, a key with a space, a negative rate.

401 comes before the body is read. The account goes to backend servers in boragegw-account, the key does not; the key is looked up again before each attempt and hedge. Limits use the same policy as the gateway, with its messages in the schema of the peers (usageReport, limitNotice). A refusal over the limit is recorded at the home of a non-idempotent request, so it is final for its idempotency key; 401 is not recorded, as an unknown caller must not fill the table.

parse_bundle returns a ParsedBundle in place of a tuple. Errors about settings and answers redact api_keys.

--- a/boragegw/blackboard/__init__.py
+++ b/boragegw/blackboard/__init__.py
@@ -9,6 +9,7 @@
 )
 from boragegw.blackboard._blackboard import Blackboard, Identity, Lifecycle
 from boragegw.blackboard._fleet import (
+    HIGHEST_HARM,
     ROLE_BACKEND,
     ROLE_ENTRY,
     ConfigurationSection,
@@ -30,6 +31,7 @@
 )
 
 __all__ = [
+    "HIGHEST_HARM",
     "ROLE_BACKEND",
     "ROLE_ENTRY",
     "WORKING_STATES",
--- a/boragegw/blackboard/_fleet.py
+++ b/boragegw/blackboard/_fleet.py
@@ -4,6 +4,8 @@
 
 ROLE_BACKEND = "backend"
 ROLE_ENTRY = "entry"
+#: Harm ranks are 0 to this one.
+HIGHEST_HARM = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,6 +117,8 @@
     :param documents: raw documents by name.
     :param services: :class:`ServiceSettings` by name.
     :param recalls: the :class:`Recall` objects in force.
+    :param accounts: an :class:`~boragegw.accounts.AccountTable`; ``None`` if requests
+        need no API keys.
     :param confirmed_at: monotonic seconds at which this revision was last known to be
         the platform's latest.
     :param adopted_at: monotonic seconds at which this revision was adopted.
@@ -126,6 +130,7 @@
     documents: dict = dataclasses.field(default_factory=dict)
     services: dict = dataclasses.field(default_factory=dict)
     recalls: tuple = ()
+    accounts: object = None
     confirmed_at: float = float("-inf")
     adopted_at: float = float("-inf")
     rejected: str = ""
--- a/boragegw/blackboard/_request_history.py
+++ b/boragegw/blackboard/_request_history.py
@@ -27,6 +27,7 @@
     path: str
     idempotent: bool
     arrived_wall: float
+    account: str = ""
     attempts: list = dataclasses.field(default_factory=list)
     outcome: str = ""
     verdict: str = ""
--- a/boragegw/cli/_check.py
+++ b/boragegw/cli/_check.py
@@ -40,6 +40,9 @@
     if isinstance(data, dict) and "recalls" in data:
         configuration.validate_model(configuration.RecallsDocument, data, path)
         return "a recalls document"
+    if isinstance(data, dict) and "accounts" in data and "services" not in data:
+        configuration.validate_model(configuration.AccountsDocument, data, path)
+        return "an accounts document"
     if isinstance(data, dict) and "documents" in data:
         configuration.validate_model(configuration.HeadDocument, data, path)
         return "a head document"
@@ -60,5 +63,5 @@
         for file in sorted(path.glob("*.json"))
     }
     head = documents.pop(_documents.HEAD, b"")
-    parsed, services, _ = configuration.parse_bundle(head, documents)
-    return f"revision {parsed.revision} with {len(services)} services"
+    bundle = configuration.parse_bundle(head, documents)
+    return f"revision {bundle.head.revision} with {len(bundle.services)} services"
--- a/boragegw/cli/_questionnaire.py
+++ b/boragegw/cli/_questionnaire.py
@@ -11,6 +11,10 @@
 
 from boragegw import configuration, errors
 
+#: Begins the keys of an account's questions, which could equal those of a service.
+ACCOUNT_PREFIX = "account:"
+#: Ends the keys of questions whose answers are not shown.
+SECRET_SUFFIX = ".api_keys"
 BACK_COMMAND = "back"
 HARM_LEVELS = ("low", "medium", "high")
 
@@ -39,6 +43,10 @@
     return values
 
 
+def _parse_optional_names(text):
+    return _parse_names(text) if text else []
+
+
 def _parse_text(text):
     if not text:
         raise ValueError("expected some text")
@@ -88,6 +96,30 @@
     )
     for service in flat.get("services", ()):
         yield from _service_questions(service)
+    yield Question(
+        "accounts",
+        "Which client accounts are there? (none: no API keys are needed)",
+        "Each request then needs an API key of one of them.",
+        _parse_optional_names,
+    )
+    for account in flat.get("accounts") or ():
+        yield from _account_questions(account)
+
+
+def _account_questions(account):
+    rows = (
+        ("api_keys", "Which API keys?", "Only digests are published.", _parse_names),
+        ("rate_per_s", "Requests per second? (0: no limit)", "Limits it.", float, 0.0),
+        ("burst", "Requests on top for a short time?", "Allows bursts.", float, 0.0),
+    )
+    for key, text, purpose, parse, *default in rows:
+        yield Question(
+            f"{ACCOUNT_PREFIX}{account}.{key}",
+            f"{account}: {text}",
+            purpose,
+            parse,
+            *default,
+        )
 
 
 def _service_questions(service):
@@ -151,9 +183,28 @@
         "entries": flat["entries"],
         "services": [_unflatten_service(flat, name) for name in flat["services"]],
         "batches": flat.get("batches", []),
+        **_unflatten_accounts(flat),
     }
 
 
+def _unflatten_accounts(flat):
+    """Return the answers about accounts, none if there are no accounts."""
+    names = flat.get("accounts")
+    if not names:
+        return {}
+    keys = ("api_keys", "rate_per_s", "burst", "harm")
+    records = [
+        {"name": name}
+        | {
+            key: flat[f"{ACCOUNT_PREFIX}{name}.{key}"]
+            for key in keys
+            if f"{ACCOUNT_PREFIX}{name}.{key}" in flat
+        }
+        for name in names
+    ]
+    return {"accounts": records}
+
+
 def _unflatten_service(flat, name):
     def get(key):
         return flat[f"{name}.{key}"]
@@ -180,6 +231,10 @@
     """Return the flat form of an answers file's content."""
     flat = {k: data[k] for k in ("team", "data_centres", "entries") if k in data}
     flat["batches"] = data.get("batches", [])
+    flat["accounts"] = [account["name"] for account in data.get("accounts") or ()]
+    for account in data.get("accounts") or ():
+        for key, value in account.items():
+            flat[f"{ACCOUNT_PREFIX}{account['name']}.{key}"] = value
     flat["services"] = [service["name"] for service in data.get("services", ())]
     for service in data.get("services", ()):
         name = service["name"]
@@ -210,6 +265,8 @@
     """Return the prompt and the default of a question."""
     default = flat.get(question.key, question.default)
     hint = "" if default in (None, []) else f" [{_format_answer(default)}]"
+    if hint and question.key.endswith(SECRET_SUFFIX):
+        hint = " [not shown]"
     return f"{question.text}\n  ({question.purpose}){hint}\n> ", default
 
 
--- a/boragegw/configuration/__init__.py
+++ b/boragegw/configuration/__init__.py
@@ -1,7 +1,10 @@
 """Validated models of external data: settings, published documents, questionnaire."""
 
 from boragegw.configuration._documents import (
+    AccountRecord,
+    AccountsDocument,
     HeadDocument,
+    ParsedBundle,
     RecallsDocument,
     RequestRule,
     ServiceDocument,
@@ -34,6 +37,9 @@
 )
 
 __all__ = [
+    "AccountRecord",
+    "AccountsDocument",
+    "ParsedBundle",
     "Answers",
     "ServiceCapacity",
     "GeneratedValue",
--- a/boragegw/configuration/_documents.py
+++ b/boragegw/configuration/_documents.py
@@ -1,16 +1,18 @@
 """Models of the documents that operators publish, and of the platform's VM list."""
 
+import dataclasses
 import hashlib
 import json
 import typing
 
 import pydantic
 
-from boragegw import blackboard, errors
+from boragegw import accounts, blackboard, errors
 from boragegw.configuration import _jsonc, _settings
 
 HEAD = "head"
 RECALLS = "recalls"
+ACCOUNTS = "accounts"
 BATCHES = "batches"
 SERVICE_PREFIX = "service."
 MAX_DOCUMENT_BYTES = 1 << 20
@@ -18,6 +20,12 @@
 
 HARM_RANKS = {"low": 0, "medium": 1, "high": 2}
 
+
+def priority_of_harm(harm):
+    """Return the priority of an account's requests; 0 is the most urgent."""
+    return blackboard.HIGHEST_HARM - HARM_RANKS[harm]
+
+
 Sha256 = typing.Annotated[str, pydantic.Field(pattern="^[0-9a-f]{64}$")]
 
 
@@ -89,6 +97,50 @@
         )
 
 
+class AccountRecord(_Model):
+    """A client account.
+
+    :param key_sha256: SHA-256 digests of its API keys; the keys are not published.
+    :param rate_per_s: requests per second over all entries; 0 for no limit.
+    :param burst: requests that it may send on top of the rate.
+    :param harm: harm of losing its requests, in place of that of the request's rule.
+    """
+
+    name: _settings.Name
+    key_sha256: list[Sha256] = []
+    rate_per_s: float = pydantic.Field(default=0.0, ge=0, le=1e9)
+    burst: float = pydantic.Field(default=0.0, ge=0, le=1e9)
+    harm: typing.Literal["low", "medium", "high"] | None = None
+
+    def to_account(self):
+        """Return the :class:`~boragegw.accounts.ClientAccount`."""
+        priority = None if self.harm is None else priority_of_harm(self.harm)
+        return accounts.ClientAccount(self.name, priority, self.rate_per_s, self.burst)
+
+
+class AccountsDocument(_Model):
+    """All client accounts. While it is published, every request needs an API key."""
+
+    accounts: list[AccountRecord] = []
+
+    @pydantic.model_validator(mode="after")
+    def _check_unique(self):
+        names = [record.name for record in self.accounts]
+        if len(set(names)) < len(names):
+            raise ValueError("expected each account once")
+        if self.to_table().conflicts:
+            holder, other = self.to_table().conflicts[0]
+            raise ValueError(f"{holder} and {other} have an API key in common")
+        return self
+
+    def to_table(self):
+        """Return the :class:`~boragegw.accounts.AccountTable`."""
+        return accounts.AccountTable(
+            (record.to_account(), [bytes.fromhex(d) for d in record.key_sha256])
+            for record in self.accounts
+        )
+
+
 class RecalledBatch(_Model):
     """A recalled batch of backend servers."""
 
@@ -150,7 +202,27 @@
     vms: list[VmRecord]
 
 
-_MODELS = {RECALLS: RecallsDocument, BATCHES: BatchesDocument}
+_MODELS = {
+    RECALLS: RecallsDocument,
+    BATCHES: BatchesDocument,
+    ACCOUNTS: AccountsDocument,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class ParsedBundle:
+    """A complete configuration.
+
+    :param services: :class:`~boragegw.blackboard.ServiceSettings` by name.
+    :param recalls: the :class:`~boragegw.blackboard.Recall` objects in force.
+    :param accounts: an :class:`~boragegw.accounts.AccountTable`, or ``None`` if
+        requests need no API keys.
+    """
+
+    head: HeadDocument
+    services: dict = dataclasses.field(default_factory=dict)
+    recalls: tuple = ()
+    accounts: object = None
 
 
 def encode_document(model):
@@ -210,17 +282,14 @@
 
 
 def parse_bundle(raw_head, documents):
-    """Return the validated configuration from raw documents.
+    """Return the :class:`ParsedBundle` of raw documents.
 
     :param documents: raw documents by name.
-    :returns: the head, the service settings by name, and the recalls.
     :raises ConfigurationError: if a document is missing, does not match its hash or is
         invalid; the configuration is then rejected as a whole.
     """
-    head = parse_head(raw_head)
-    services = {}
-    recalls = ()
-    for name, expected in head.documents.items():
+    bundle = ParsedBundle(parse_head(raw_head))
+    for name, expected in bundle.head.documents.items():
         raw = documents.get(name)
         if raw is None:
             raise errors.ConfigurationError(name, "document", "missing")
@@ -228,10 +297,12 @@
             raise errors.ConfigurationError(name, "hash", "does not match the head")
         document = parse_document(name, raw)
         if name == RECALLS:
-            recalls = document.to_recalls()
+            bundle.recalls = document.to_recalls()
+        elif name == ACCOUNTS:
+            bundle.accounts = document.to_table()
         elif name.startswith(SERVICE_PREFIX):
-            services[document.name] = document.to_settings()
-    return head, services, recalls
+            bundle.services[document.name] = document.to_settings()
+    return bundle
 
 
 def parse_vm_list(raw):
--- a/boragegw/configuration/_generator.py
+++ b/boragegw/configuration/_generator.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import hashlib
 import math
 
 from boragegw.configuration import _documents
@@ -37,6 +38,16 @@
         yield from _generate_service(service, answers)
     batches = [batch.model_dump() for batch in answers.batches]
     yield GeneratedValue("batches", "batches", batches, "answer batches")
+    if answers.accounts is not None:
+        records = [_account_record(account) for account in answers.accounts]
+        yield GeneratedValue("accounts", "accounts", records, "answer accounts")
+
+
+def _account_record(account):
+    """Return the published form of an account, with digests in place of its keys."""
+    record = account.model_dump(exclude={"api_keys"})
+    digests = [hashlib.sha256(key.encode()).hexdigest() for key in account.api_keys]
+    return {**record, "key_sha256": digests}
 
 
 def _generate_service(service, answers):
--- a/boragegw/configuration/_jsonc.py
+++ b/boragegw/configuration/_jsonc.py
@@ -7,6 +7,10 @@
 
 from boragegw import errors
 
+#: Keys of data that no error message shows.
+SECRET_KEYS = {"api_keys"}
+NOT_SHOWN = "(not shown)"
+
 
 def load_jsonc(path):
     """Return the parsed content of a file in JSON with comments.
@@ -43,8 +47,22 @@
     details = error.errors(include_url=False)
     first = details[0]
     key = ".".join(str(part) for part in first["loc"]) or "document"
-    value = repr(first["input"])
+    value = (
+        NOT_SHOWN if SECRET_KEYS & set(first["loc"]) else repr(_redact(first["input"]))
+    )
     shown = value if len(value) <= 80 else value[:77] + "..."
     message = first["msg"].replace("\n", " ")
     suffix = f" (and {len(details) - 1} more)" if len(details) > 1 else ""
     return errors.ConfigurationError(source, key, f"{shown}: {message}{suffix}")
+
+
+def _redact(data):
+    """Return a copy of ``data`` without the values of secret keys."""
+    if isinstance(data, dict):
+        return {
+            key: NOT_SHOWN if key in SECRET_KEYS else _redact(value)
+            for key, value in data.items()
+        }
+    if isinstance(data, list):
+        return [_redact(value) for value in data]
+    return data
--- a/boragegw/configuration/_questionnaire.py
+++ b/boragegw/configuration/_questionnaire.py
@@ -4,9 +4,13 @@
 
 import pydantic
 
-from boragegw import errors
+from boragegw import accounts, errors
 from boragegw.configuration import _settings
 
+ApiKey = typing.Annotated[
+    str,
+    pydantic.Field(pattern=r"^[\x21-\x7e]+$", max_length=accounts.MAX_KEY_BYTES),
+]
 Harm = typing.Literal["low", "medium", "high"]
 
 
@@ -57,6 +61,23 @@
     largest_request_kb: int = pydantic.Field(default=1024, ge=1, le=65_536)
 
 
+class AccountAnswers(_Model):
+    """Answers about one client account.
+
+    :param api_keys: keys that its callers send. Only their digests are published.
+    :param rate_per_s: requests per second that all its callers may send together; 0 for
+        no limit.
+    :param burst: requests that they may send on top of that for a short time.
+    :param harm: harm of losing its requests, in place of that of the request.
+    """
+
+    name: _settings.Name
+    api_keys: list[ApiKey] = []
+    rate_per_s: float = pydantic.Field(default=0.0, ge=0, le=1e9)
+    burst: float = pydantic.Field(default=0.0, ge=0, le=1e9)
+    harm: Harm | None = None
+
+
 class BatchAnswers(_Model):
     """Answers about a named batch of backend servers that can be recalled together."""
 
@@ -69,6 +90,7 @@
     """All answers of one team.
 
     :param entries: number of entry processes.
+    :param accounts: client accounts; ``None`` if requests need no API keys.
     """
 
     team: str = pydantic.Field(min_length=1, max_length=200)
@@ -76,6 +98,7 @@
     entries: int = pydantic.Field(ge=1, le=1000)
     services: list[ServiceAnswers] = pydantic.Field(min_length=1)
     batches: list[BatchAnswers] = []
+    accounts: list[AccountAnswers] | None = None
 
 
 def check_answers(answers, source):
@@ -93,6 +116,7 @@
     yield from _duplicates("data_centres", answers.data_centres)
     yield from _duplicates("services.name", [s.name for s in answers.services])
     yield from _duplicates("batches.name", [b.name for b in answers.batches])
+    yield from _account_contradictions(answers.accounts or [])
     for service in answers.services:
         yield from _service_contradictions(service, answers)
     for batch in answers.batches:
@@ -109,6 +133,19 @@
         yield question, f"{value!r} is given twice"
 
 
+def _account_contradictions(account_answers):
+    yield from _duplicates("accounts.name", [a.name for a in account_answers])
+    holders = {}
+    for account in account_answers:
+        for key in account.api_keys:
+            holder = holders.setdefault(key, account.name)
+            if holder != account.name:
+                yield (
+                    f"accounts.{account.name}.api_keys",
+                    f"{holder} has one of these API keys too",
+                )
+
+
 def _service_contradictions(service, answers):
     where = f"services.{service.name}"
     if service.cold_bears > service.slots:
--- a/boragegw/controllers/__init__.py
+++ b/boragegw/controllers/__init__.py
@@ -1,5 +1,6 @@
 """Controllers: background tasks and event handlers that update the blackboard."""
 
+from boragegw.controllers._allotments import AllotmentController
 from boragegw.controllers._configuration import ConfigurationController
 from boragegw.controllers._dispatcher import Dispatcher
 from boragegw.controllers._gossip import GossipController
@@ -8,6 +9,7 @@
 from boragegw.controllers._services import ServicesController
 
 __all__ = [
+    "AllotmentController",
     "ConfigurationController",
     "Dispatcher",
     "GossipController",
--- a/boragegw/controllers/_configuration.py
+++ b/boragegw/controllers/_configuration.py
@@ -76,21 +76,22 @@
         """
         section = self.board.configuration
         try:
-            head, services, recalls = configuration.parse_bundle(raw_head, documents)
+            bundle = configuration.parse_bundle(raw_head, documents)
         except errors.ConfigurationError as error:
             self._reject(str(error))
             return False
-        if head.revision <= section.revision:
+        if bundle.head.revision <= section.revision:
             return False
-        section.revision = head.revision
+        section.revision = bundle.head.revision
         section.head = raw_head
-        section.documents = {name: documents[name] for name in head.documents}
-        section.services = services
-        section.recalls = recalls
+        section.documents = {name: documents[name] for name in bundle.head.documents}
+        section.services = bundle.services
+        section.recalls = bundle.recalls
+        section.accounts = bundle.accounts
         section.adopted_at = self.clock.now()
         section.rejected = ""
         self.board.counters["configuration.adopted"] += 1
-        logger.info("configuration adopted", extra={"revision": head.revision})
+        logger.info("configuration adopted", extra={"revision": bundle.head.revision})
         self.on_change()
         return True
 
--- a/boragegw/entry/_at_most_once.py
+++ b/boragegw/entry/_at_most_once.py
@@ -33,18 +33,28 @@
 
     :param keys: a :class:`~boragegw.decisions.KeyTable`.
     :param executor: the :class:`Executor`.
+    :param authorization: the :class:`CallerAuthorization`. The limit of the account is
+        checked here, so that a refusal is recorded and a resend costs nothing.
     :param stored_response_limit: largest response body in bytes that is stored for
         resends.
     """
 
     def __init__(
-        self, board, clock, keys, executor, tasks, stored_response_limit=65_536
+        self,
+        board,
+        clock,
+        keys,
+        executor,
+        tasks,
+        authorization,
+        stored_response_limit=65_536,
     ):
         self.board = board
         self.clock = clock
         self.keys = keys
         self.executor = executor
         self.tasks = tasks
+        self.authorization = authorization
         self.stored_response_limit = stored_response_limit
 
     def refuse(self, request, lease, error):
@@ -110,6 +120,7 @@
             errors.Verdict.MAY_HAVE_RUN,
         )
         try:
+            self.authorization.check_limit(request)
             response = await self.executor.execute(
                 request, service, False, request_record
             )
--- a/boragegw/entry/_executor.py
+++ b/boragegw/entry/_executor.py
@@ -23,6 +23,13 @@
 )
 
 
+def _harm(request, service):
+    """Return the harm rank of losing a request; that of its account goes first."""
+    if request.account is None or request.account.priority is None:
+        return service.settings.harm(request.method, request.path)
+    return blackboard.HIGHEST_HARM - request.account.priority
+
+
 @dataclasses.dataclass(slots=True)
 class ExecutionPolicies:
     """The policies of an :class:`Executor`."""
@@ -66,6 +73,7 @@
     """Executes requests on backend servers.
 
     :param policies: a :class:`ExecutionPolicies`.
+    :param authorization: the :class:`CallerAuthorization`.
     :param on_quarantine: called with (fingerprint, seconds) when a request is
         quarantined.
     """
@@ -79,6 +87,7 @@
         transport,
         policies,
         tasks,
+        authorization,
         tracer=None,
     ):
         self.board = board
@@ -88,6 +97,7 @@
         self.transport = transport
         self.policies = policies
         self.tasks = tasks
+        self.authorization = authorization
         self.tracer = tracer or _tracing.NullTracer()
         self.on_quarantine = lambda fingerprint, remaining: None
 
@@ -112,6 +122,10 @@
             for key, value in messages.end_to_end_headers(request.headers)
             if key not in _EXCLUDED_HEADERS
         ]
+        if request.account is not None:
+            # The key is meant for this process; backend servers get the account.
+            headers = [h for h in headers if h[0] != messages.AUTHORIZATION_HEADER]
+            headers.append((messages.ACCOUNT_HEADER, request.account.name.encode()))
         if not request.body.complete:
             length = messages.find_header(request.headers, b"content-length")
             if length is not None:
@@ -120,7 +134,7 @@
             request=request,
             service=service,
             idempotent=idempotent,
-            harm=service.settings.harm(request.method, request.path),
+            harm=_harm(request, service),
             request_record=request_record,
             headers=headers,
             fingerprint=b"" if request.body.complete else request.fingerprint(),
@@ -143,6 +157,7 @@
     async def _try_once(self, state):
         """Acquire capacity and send the request; return ``None`` if it is retried."""
         backend = await self._acquire(state)
+        self._check_caller(state, backend)
         try:
             response = await self._attempt_with_hedging(state, backend)
         except backends.AttemptError as error:
@@ -153,6 +168,16 @@
             return None
         return response
 
+    def _check_caller(self, state, backend):
+        """Release the backend server if the caller's API key is no longer valid."""
+        try:
+            self.authorization.check_still_valid(state.request)
+        except errors.RequestError as error:
+            self.dispatcher.release(state.service, backend)
+            raise errors.RequestError(
+                error.code, error.detail, state.verdict
+            ) from error
+
     def _should_retry(self, state, response):
         """Return whether a response is a gateway error to retry on another server."""
         if not state.idempotent or response.status not in RETRYABLE_STATUSES:
@@ -211,6 +236,10 @@
         """Reserve capacity for a hedge; return its backend server, or ``None``."""
         if not self.policies.hedging.permits(state.service, self.clock.now()):
             return None
+        try:
+            self.authorization.check_still_valid(state.request)
+        except errors.RequestError:
+            return None
         excluded = state.excluded | {first.name}
         backend = self.dispatcher.try_acquire(state.service, excluded)
         if backend is first:
--- a/boragegw/entry/_request_router.py
+++ b/boragegw/entry/_request_router.py
@@ -23,6 +23,7 @@
     :param membership: a :class:`~boragegw.controllers.MembershipController`, which also
         holds the sealed key tables of stopped peers.
     :param network: a :class:`~boragegw.peers.PeerNetwork`.
+    :param authorization: the :class:`CallerAuthorization`.
     :param max_in_flight: most requests in flight in this process.
     """
 
@@ -35,6 +36,7 @@
         leases,
         membership,
         network,
+        authorization,
         max_in_flight=5000,
         tracer=None,
     ):
@@ -45,6 +47,7 @@
         self.leases = leases
         self.membership = membership
         self.network = network
+        self.authorization = authorization
         self.max_in_flight = max_in_flight
         self.tracer = tracer or _tracing.NullTracer()
 
@@ -81,11 +84,13 @@
         )
 
     async def _route(self, request, request_record):
+        self._identify_caller(request, request_record)
         service = self.board.services.get(request.service)
         if service is not None:
             settings = service.settings
             if settings.is_idempotent(request.method, request.path):
                 self._refuse_if_unavailable()
+                self.authorization.check_limit(request)
                 return await self.executor.execute(
                     request, service, True, request_record
                 )
@@ -97,6 +102,11 @@
             return await self._handle_remote_key(request, lease)
         return await self._handle_local_key(request, lease, request_record)
 
+    def _identify_caller(self, request, request_record):
+        self.authorization.identify(request)
+        if request.account is not None:
+            request_record.account = request.account.name
+
     def _missing_key_error(self, service):
         if service is None:
             return _unknown_service_error()
@@ -220,6 +230,7 @@
         request_record = self._add_request_record(request)
         request_record.idempotent = False
         try:
+            self._identify_caller(request, request_record)
             lease = self._read_lease(request)
             if lease.incarnation != incarnation:
                 return None
--- a/boragegw/errors/_errors.py
+++ b/boragegw/errors/_errors.py
@@ -15,6 +15,8 @@
         member.status = status
         return member
 
+    UNAUTHORIZED = "unauthorized", 401
+    OVER_LIMIT = "over-limit", 429
     UNKNOWN_SERVICE = "unknown-service", 404
     NOT_FOUND = "not-found", 404
     BAD_REQUEST = "bad-request", 400
--- a/boragegw/errors/_problem.py
+++ b/boragegw/errors/_problem.py
@@ -4,6 +4,8 @@
 import json
 import math
 
+from boragegw.errors import _errors
+
 MEDIA_TYPE = b"application/problem+json"
 
 
@@ -37,6 +39,8 @@
         (b"boragegw-verdict", error.verdict.value.encode()),
         (b"boragegw-code", error.code.value.encode()),
     ]
+    if error.code is _errors.Code.UNAUTHORIZED:
+        headers.append((b"www-authenticate", b"Bearer"))
     if error.retry_after is not None:
         members["retry_after"] = error.retry_after
         seconds = max(1, math.ceil(error.retry_after))
--- a/boragegw/messages/__init__.py
+++ b/boragegw/messages/__init__.py
@@ -2,6 +2,8 @@
 
 from boragegw.messages._body import Body
 from boragegw.messages._headers import (
+    ACCOUNT_HEADER,
+    AUTHORIZATION_HEADER,
     CODE_HEADER,
     DEADLINE_HEADER,
     HOP_BY_HOP_HEADERS,
@@ -19,6 +21,8 @@
 from boragegw.messages._response import Response
 
 __all__ = [
+    "ACCOUNT_HEADER",
+    "AUTHORIZATION_HEADER",
     "CODE_HEADER",
     "DEADLINE_HEADER",
     "HOP_BY_HOP_HEADERS",
--- a/boragegw/messages/_headers.py
+++ b/boragegw/messages/_headers.py
@@ -9,6 +9,10 @@
 CODE_HEADER = b"boragegw-code"
 ATTEMPT_HEADER = b"boragegw-attempt"
 LOAD_HEADER = b"boragegw-load"
+#: Name of the client account, for backend servers. Like all internal headers, it does
+#: not come from the caller.
+ACCOUNT_HEADER = b"boragegw-account"
+AUTHORIZATION_HEADER = b"authorization"
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
 TRACEPARENT_HEADER = b"traceparent"
 
--- a/boragegw/messages/_request.py
+++ b/boragegw/messages/_request.py
@@ -15,6 +15,8 @@
     :param deadline: monotonic seconds by which the response must begin.
     :param key: idempotency key, "" if the caller sent none.
     :param retries_left: retries that the previous hops still allow.
+    :param account: the :class:`~boragegw.accounts.ClientAccount` of the caller, or
+        ``None``.
     :param trace: the span context of the previous hop, or ``None``.
     """
 
@@ -28,6 +30,7 @@
     key: str = ""
     retries_left: int = 2
     trace: object = None
+    account: object = None
 
     @property
     def path(self):
@@ -40,7 +43,9 @@
         It includes the caller's credentials, so that another caller that guesses or
         repeats the key does not get the stored response. The body must be complete.
         """
-        credentials = _headers.find_header(self.headers, b"authorization", b"")
+        credentials = _headers.find_header(
+            self.headers, _headers.AUTHORIZATION_HEADER, b""
+        )
         cookie = _headers.find_header(self.headers, b"cookie", b"")
         content_type = _headers.find_header(self.headers, b"content-type", b"")
         parts = (
--- a/boragegw/peers/_datagram_codec.py
+++ b/boragegw/peers/_datagram_codec.py
@@ -6,7 +6,7 @@
 
 import capnp
 
-from boragegw import blackboard
+from boragegw import balancing, blackboard
 from boragegw.peers import _authentication, _messages
 
 capnp.remove_import_hook()
@@ -115,15 +115,62 @@
     return _messages.Quarantine(bytes(reader.fingerprint), reader.remainingMs / 1000)
 
 
+def _write_usage_report(root, message):
+    report = root.init("usageReport")
+    _write_source(report, message)
+    items = report.init("items", len(message.items))
+    for builder, item in zip(items, message.items, strict=True):
+        builder.account = item.account
+        builder.offered = item.offered
+        builder.admitted = item.admitted
+
+
+def _read_usage_report(reader):
+    items = [
+        balancing.UsageItem(item.account, item.offered, item.admitted)
+        for item in reader.items
+    ]
+    return balancing.UsageReport(reader.name, reader.incarnation, reader.number, items)
+
+
+def _write_limit_notice(root, message):
+    notice = root.init("limitNotice")
+    _write_source(notice, message)
+    items = notice.init("items", len(message.items))
+    for builder, item in zip(items, message.items, strict=True):
+        builder.account = item.account
+        builder.share = item.share
+        builder.offeredRate = item.offered_rate
+
+
+def _read_limit_notice(reader):
+    items = [
+        balancing.LimitItem(item.account, item.share, item.offeredRate)
+        for item in reader.items
+    ]
+    return balancing.LimitNotice(reader.name, reader.incarnation, reader.number, items)
+
+
+def _write_source(builder, message):
+    """Write the process that sends a message about allotments, and its sequence."""
+    builder.name = message.sender
+    builder.incarnation = message.incarnation
+    builder.number = message.sequence
+
+
 _WRITERS = {
     _messages.Heartbeat: _write_heartbeat,
     _messages.LoadDigest: _write_load_digest,
     _messages.Quarantine: _write_quarantine,
+    balancing.UsageReport: _write_usage_report,
+    balancing.LimitNotice: _write_limit_notice,
 }
 _READERS = {
     "heartbeat": _read_heartbeat,
     "loadDigest": _read_load_digest,
     "quarantine": _read_quarantine,
+    "usageReport": _read_usage_report,
+    "limitNotice": _read_limit_notice,
 }
 
 
--- a/boragegw/peers/messages.capnp
+++ b/boragegw/peers/messages.capnp
@@ -51,6 +51,32 @@
   remainingMs @1 :UInt32;
 }
 
+struct UsageItem {
+  account @0 :UInt64;
+  offered @1 :Int32;
+  admitted @2 :Int32;
+}
+
+struct UsageReport {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  number @2 :UInt64;
+  items @3 :List(UsageItem);
+}
+
+struct LimitItem {
+  account @0 :UInt64;
+  share @1 :Float64;
+  offeredRate @2 :Float64;
+}
+
+struct LimitNotice {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  number @2 :UInt64;
+  items @3 :List(LimitItem);
+}
+
 struct Datagram {
   sender @0 :UInt64;
   sequence @1 :UInt64;
@@ -59,5 +85,7 @@
     heartbeat @3 :Heartbeat;
     loadDigest @4 :LoadDigest;
     quarantine @5 :Quarantine;
+    usageReport @6 :UsageReport;
+    limitNotice @7 :LimitNotice;
   }
 }
--- a/boragegw/peers/tests/test_peer_contract.py
+++ b/boragegw/peers/tests/test_peer_contract.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from boragegw import blackboard, decisions, errors, peers, utils
+from boragegw import balancing, blackboard, decisions, errors, peers, utils
 
 SECRET = b"shared key of the peers"
 
@@ -41,6 +41,10 @@
         ],
     ),
     peers.Quarantine(b"f" * 16, 30.0),
+    balancing.UsageReport(
+        "entry-1", 2**63, 9, [balancing.UsageItem(2**64 - 1, 12, -3)] * 40
+    ),
+    balancing.LimitNotice("entry-1", 7, 10, [balancing.LimitItem(1, 0.25, 12.5)] * 30),
 )
 
 
--- a/boragegw/server/_node.py
+++ b/boragegw/server/_node.py
@@ -9,6 +9,7 @@
 import logging
 
 from boragegw import (
+    balancing,
     blackboard,
     controllers,
     decisions,
@@ -176,6 +177,17 @@
 
     def _build_entry(self, secret):
         parameters = self.parameters
+        self.allotments = controllers.AllotmentController(
+            self.board,
+            self.clock,
+            self.random_state,
+            self.services,
+            self.network,
+            balancing.AdmittedShares(
+                started_at=self.clock.now(), incarnation=self.board.identity.incarnation
+            ),
+        )
+        self.authorization = entry.CallerAuthorization(self.board, self.allotments)
         self.keys = decisions.KeyTable(
             parameters.table_limit, parameters.retention, parameters.stored_bytes_limit
         )
@@ -191,6 +203,7 @@
             self.transport,
             policies,
             self.tasks,
+            self.authorization,
             self.tracer,
         )
         self.at_most_once_executor = entry.AtMostOnceExecutor(
@@ -199,6 +212,7 @@
             self.keys,
             self.executor,
             self.executions,
+            self.authorization,
             parameters.stored_response_limit,
         )
         self.router = entry.RequestRouter(
@@ -209,6 +223,7 @@
             self.leases,
             self.membership,
             self.network,
+            self.authorization,
             parameters.max_in_flight,
             self.tracer,
         )
@@ -305,6 +320,7 @@
 
     def _tick(self):
         self.dispatcher.tick(self.parameters.tick_interval)
+        self.allotments.send_messages()
         self.keys.sweep(self.clock.wall())
 
     def _refresh(self):
@@ -319,6 +335,8 @@
             self.membership.handle_heartbeat(message)
         elif isinstance(message, peers.LoadDigest):
             self.gossip.handle_digest(sender, message)
+        elif isinstance(message, (balancing.UsageReport, balancing.LimitNotice)):
+            self.allotments.handle_message(message)
         elif isinstance(message, peers.Quarantine):
             self.executor.policies.quarantine.add(
                 self.board.quarantined,
--- a/boragegw/standins/_virtual_fleet.py
+++ b/boragegw/standins/_virtual_fleet.py
@@ -234,7 +234,15 @@
         )
 
     async def request(
-        self, index, service, method, target, content=b"", key="", deadline=5.0
+        self,
+        index,
+        service,
+        method,
+        target,
+        content=b"",
+        key="",
+        deadline=5.0,
+        more_headers=(),
     ):
         """Send one request to an entry; return its response and the complete body.
 
@@ -246,7 +254,7 @@
         if node is None:
             raise ConnectionResetError("entry is not running")
         await self.simulator.wait_while_paused(node.board.identity.peer_address)
-        headers = [(b"content-type", b"text/plain")]
+        headers = [(b"content-type", b"text/plain"), *more_headers]
         if key:
             headers.append((messages.IDEMPOTENCY_KEY_HEADER, key.encode()))
         request = messages.Request(
--- a/boragegw/standins/_virtual_transport.py
+++ b/boragegw/standins/_virtual_transport.py
@@ -24,6 +24,7 @@
     :param reachable: function that returns whether a VM is reachable.
     :param wait_while_paused: coroutine function that returns once this entry is
         not paused.
+    :ivar sent_headers: header pairs of each attempt by its id.
     """
 
     def __init__(self, servers, latency, reachable, wait_while_paused):
@@ -32,6 +33,7 @@
         self.reachable = reachable
         self.wait_while_paused = wait_while_paused
         self.sends = 0
+        self.sent_headers = {}
         self._connections = {}
         self._silent_connections = set()
 
@@ -47,6 +49,7 @@
     async def send(self, attempt):
         """Return the :class:`~boragegw.backends.BackendResponse` of an attempt."""
         self.sends += 1
+        self.sent_headers[attempt.attempt_id] = attempt.headers
         server = self.servers[attempt.vm.name]
         try:
             async with asyncio.timeout_at(attempt.deadline):
