Executor: a retried gateway error raises the verdict of the request

A response 502, 503 or 504 that was retried did not raise the verdict. If the retry was then refused as not run, the caller was told not-run although the first attempt may have run: untrue, if only for idempotent requests. The retry also excluded the server of the latest attempt record, which with a hedge is not always the one that failed; responses and attempt errors name theirs now.

Test: test_error_after_a_retried_gateway_error_does_not_say_not_run, which got NOT_RUN before. The choice of the excluded server has no test of its own.

--- a/boragegw/backends/_base.py
+++ b/boragegw/backends/_base.py
@@ -34,6 +34,7 @@
     :param report: the load report in the backend server's refusal, or ``None``.
     :param retry_after: seconds to wait, as the refusing backend server requests, or
         ``None``.
+    :ivar backend: name of the backend server, "" until the attempt has ended.
     """
 
     def __init__(self, failure, verdict, detail, report=None, retry_after=None):
@@ -42,6 +43,7 @@
         self.verdict = verdict
         self.report = report
         self.retry_after = retry_after
+        self.backend = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/boragegw/entry/_executor.py
+++ b/boragegw/entry/_executor.py
@@ -182,8 +182,11 @@
         """Return whether a response is a gateway error to retry on another server."""
         if not state.idempotent or response.status not in RETRYABLE_STATUSES:
             return False
-        state.excluded = state.excluded | {state.request_record.attempts[-1].backend}
-        return self._permits_retry(state, errors.Verdict.MAY_HAVE_RUN)
+        state.excluded = state.excluded | {response.backend}
+        if not self._permits_retry(state, response.verdict):
+            return False
+        state.verdict = response.verdict
+        return True
 
     async def _acquire(self, state):
         """Acquire capacity; an error after earlier attempts keeps their verdict."""
@@ -290,6 +293,7 @@
                 error.failure.value,
                 error.verdict.value,
             )
+            error.backend = backend.name
             self.observer.observe_failure(state.service, backend, error)
             raise
         except errors.RequestError as error:
@@ -367,7 +371,9 @@
             body = _response_bodies.ResumingBody(
                 body, lambda offset: self._resume(state, backend, offset, etag)
             )
-        return messages.Response(response.status, response.headers, body, verdict)
+        return messages.Response(
+            response.status, response.headers, body, verdict, backend.name
+        )
 
     async def _resume(self, state, failed_backend, offset, etag):
         """Return the rest of a download, from ``offset`` on, from another server.
@@ -410,8 +416,7 @@
             if state.request.deadline > self.clock.now():
                 return
             raise self._final_error(state, error)
-        tried_backend = state.request_record.attempts[-1].backend
-        state.excluded = state.excluded | {tried_backend}
+        state.excluded = state.excluded | {error.backend}
         if not self._permits_retry(state, error.verdict):
             raise self._final_error(state, error)
 
--- a/boragegw/entry/_hedged_attempt.py
+++ b/boragegw/entry/_hedged_attempt.py
@@ -73,6 +73,7 @@
                 errors.Verdict.MAY_HAVE_RUN,
                 f"{backend.name}: the connection stopped responding",
             )
+            first_error.backend = backend.name
         except backends.AttemptError as error:
             first_error = error
         if self._hedge_task is None:
--- a/boragegw/entry/tests/test_faults.py
+++ b/boragegw/entry/tests/test_faults.py
@@ -198,6 +198,34 @@
     assert statuses[200] >= 54
 
 
+def test_error_after_a_retried_gateway_error_does_not_say_not_run():
+    """The server answers 502, which may mean that it ran, and then refuses retries."""
+
+    async def scenario(fleet):
+        (backend,) = fleet.servers.values()
+        for number in range(40):
+            await get(fleet, f"/{number}", 0)
+        backend.faults.fail_fast = True
+        backend.faults.fail_status = 502
+        transport = fleet.transports[0]
+        send = transport.send
+
+        async def send_and_refuse_later(attempt):
+            try:
+                return await send(attempt)
+            finally:
+                backend.faults.fail_fast = False
+                backend.faults.refuse = True
+
+        transport.send = send_and_refuse_later
+        response, _ = await get(fleet, "/x", 0, deadline=1.0)
+        return response
+
+    response = run_fleet(scenario, backends=1)
+    assert response.status == 503
+    assert response.verdict is errors.Verdict.MAY_HAVE_RUN
+
+
 def test_draining_server_gets_no_new_requests_and_finishes_its_own():
     async def scenario(fleet):
         leaving = next(iter(fleet.servers.values()))
--- a/boragegw/messages/_response.py
+++ b/boragegw/messages/_response.py
@@ -18,12 +18,14 @@
     :param body: async iterator of bytes; raises
         :class:`~boragegw.errors.TruncatedResponseError` if the body is incomplete.
     :param verdict: whether the request ran on a backend server.
+    :param backend: name of the backend server that sent it, "" if none did.
     """
 
     status: int
     headers: list
     body: object
     verdict: errors.Verdict = errors.Verdict.RAN
+    backend: str = ""
 
     @classmethod
     def from_bytes(cls, status, headers, content, verdict=errors.Verdict.RAN):
--- a/boragegw/standins/_virtual_backend.py
+++ b/boragegw/standins/_virtual_backend.py
@@ -36,7 +36,7 @@
 
     :param slow_factor: current factor on the service time.
     :param refuse: reject every request as not run.
-    :param fail_fast: respond with status 500 at once.
+    :param fail_fast: respond with ``fail_status`` at once.
     :param draining: report draining and reject every request as not run.
     :param down: accept no connections and break open ones when a request arrives.
     :param crash_before: requests that crash the server before they run.
@@ -53,6 +53,7 @@
     slow_factor: float = 1.0
     refuse: bool = False
     fail_fast: bool = False
+    fail_status: int = 500
     draining: bool = False
     down: bool = False
     crash_before: int = 0
--- a/boragegw/standins/_virtual_transport.py
+++ b/boragegw/standins/_virtual_transport.py
@@ -134,7 +134,8 @@
             server.restart()
             raise self._break_connection(server)
         if faults.fail_fast:
-            return self._make_response(server, attempt, 500, b"failed")
+            status = server.faults.fail_status
+            return self._make_response(server, attempt, status, b"failed")
         if server.refuses:
             raise backends.AttemptError(
                 backends.Failure.REFUSED,
