Configuration: no file left after a failed write, TLS paths relative to settings

A write that failed left its temporary file in the published folder. tls.* was resolved against the working folder, unlike key_file and the example's comment. A bulk answer of a peer had no size limit, as BUNDLE_LIMIT was unused; it is read up to that limit now (no test of its own: 64 MB).

--- a/boragegw/configuration/_published.py
+++ b/boragegw/configuration/_published.py
@@ -124,7 +124,11 @@
 
 def _write_atomically(path, raw):
     descriptor, temporary = tempfile.mkstemp(dir=path.parent, prefix=".")
-    with os.fdopen(descriptor, "wb") as file:
-        file.write(raw)
-    os.chmod(temporary, 0o644)
-    os.replace(temporary, path)
+    try:
+        with os.fdopen(descriptor, "wb") as file:
+            file.write(raw)
+        os.chmod(temporary, 0o644)
+        os.replace(temporary, path)
+    except OSError:
+        os.unlink(temporary)
+        raise
--- a/boragegw/configuration/_settings.py
+++ b/boragegw/configuration/_settings.py
@@ -162,7 +162,7 @@
 def load_settings(path):
     """Return the validated :class:`Settings` from the file ``path``.
 
-    A relative path of the key file is resolved against the folder of the settings file.
+    Relative paths of files are resolved against the folder of the settings file.
 
     :raises ConfigurationError: with one line that names the invalid key.
     """
@@ -173,9 +173,17 @@
     )
     settings = settings.model_copy(update={"peers": peers})
     settings.read_peer_key(path)
-    for key in ("certificate", "private_key"):
-        if settings.tls and not pathlib.Path(getattr(settings.tls, key)).is_file():
+    if settings.tls is None:
+        return settings
+    return settings.model_copy(update={"tls": _resolve_tls(settings.tls, folder, path)})
+
+
+def _resolve_tls(tls, folder, source):
+    """Return the TLS settings with paths resolved against ``folder``."""
+    paths = {key: folder / getattr(tls, key) for key in ("certificate", "private_key")}
+    for key, path in paths.items():
+        if not path.is_file():
             raise errors.ConfigurationError(
-                path, f"tls.{key}", f"{getattr(settings.tls, key)!r}: no such file"
+                source, f"tls.{key}", f"{getattr(tls, key)!r}: no such file"
             )
-    return settings
+    return tls.model_copy(update={key: str(path) for key, path in paths.items()})
--- a/boragegw/peers/_http.py
+++ b/boragegw/peers/_http.py
@@ -137,19 +137,19 @@
             self.clock.wall(), method.encode(), path.encode(), content
         )
         try:
-            response = await self._http().request(
+            async with self._http().stream(
                 method,
                 f"http://{address}{path}",
                 headers={SIGNATURE_HEADER.decode(): signature.decode()},
                 content=content,
-            )
+            ) as response:
+                if response.status_code != 200:
+                    raise _base.PeerError(
+                        f"{address}: status {response.status_code}", sent=True
+                    )
+                return await _read_limited(address, response)
         except httpx.HTTPError as error:
             raise _base.PeerError(f"{address}: {error!r}", sent=True) from error
-        if response.status_code != 200:
-            raise _base.PeerError(
-                f"{address}: status {response.status_code}", sent=True
-            )
-        return response.content
 
     async def fetch_configuration(self, address, known):
         """Return a peer's configuration bundle."""
@@ -171,6 +171,18 @@
             await self._client.aclose()
 
 
+async def _read_limited(address, response):
+    """Return the body of a bulk response; a peer that sends without end is left."""
+    body = bytearray()
+    async for chunk in response.aiter_bytes():
+        body += chunk
+        if len(body) > BUNDLE_LIMIT:
+            raise _base.PeerError(
+                f"{address}: more than {BUNDLE_LIMIT} bytes", sent=True
+            )
+    return bytes(body)
+
+
 async def _stream_body(response):
     try:
         async for chunk in response.aiter_raw():
