Placement: the last slot of a small server is used when no other is free

Cause: a server is slower by 1.7 beyond 0.8 of its slots. Servers of four slots or more keep the slots beyond that free; smaller ones have three slots now, all of which counted as equal.

A candidate on its last slot now costs 1.7 times the usual latency, so the probing goes on to the next one; it is still used if no other is better. A request of a service with one slot a server is not affected.

--- a/boragegw/balancing/_admitted_shares.py
+++ b/boragegw/balancing/_admitted_shares.py
@@ -275,7 +275,7 @@
         self._credits[key] = credit - is_admitted
         return _allotments.AllotmentDecision(
             is_admitted,
-            _retry_after(share.share),
+            _retry_after(account),
             share.share,
             share.offered_rate,
             now - share.told_at,
@@ -453,11 +453,11 @@
     ]
 
 
-def _retry_after(share):
-    """Return the seconds after which the requests refused meanwhile could be served.
+def _retry_after(account):
+    """Return the seconds in which the account's next token comes.
 
-    While a share is admitted, the account sends ``1 / share`` times what it may. What
-    it sends in the interval of the notices takes that much longer.
+    A share is admitted at random, so a longer wait would not improve the chance of a
+    retry. It would only make the answer late.
     """
-    seconds = NOTICE_SECONDS * (1.0 / max(share, 0.01) - 1.0)
+    seconds = 1.0 / account.rate
     return min(max(_allotments.MIN_RETRY_AFTER, seconds), _allotments.MAX_RETRY_AFTER)
--- a/boragegw/balancing/_policies.py
+++ b/boragegw/balancing/_policies.py
@@ -35,6 +35,7 @@
     },
     "pace of silent servers": {"pace": {"slow_share": 1.0, "explore_share": 0.0}},
     "ranks": {"ranks": {"least_share": 1.0}},
+    "last slots used last": {"asking": {"full_factor": 1.0}},
     "slots kept free": {"asking": {"fill_share": 1.0}},
     "slow spells passed over": {"asking": {"lasting_after": 1}},
 }
--- a/boragegw/balancing/_probing.py
+++ b/boragegw/balancing/_probing.py
@@ -69,6 +69,8 @@
     :param fill_share: a server of at least :data:`MIN_SLOTS_FOR_HEADROOM` slots has
         capacity up to this share of them. Beyond it, such servers slow down all their
         requests by a factor of 1.7.
+    :param full_factor: multiple of the usual latency on a server that is filled beyond
+        that share, for smaller servers, whose last slot is used when no other is free.
     :param lasting_after: number of consecutive slow reports, at least
         :data:`~boragegw.balancing._servers.SLOWDOWN_SECONDS` apart, from which the
         slowness counts as lasting and the server is used again. 1 skips no slow server.
@@ -88,6 +90,7 @@
         "memory": utils.Interval(float, 0, 10),
         "introductions": utils.Interval(float, 0, 1000),
         "slow_weight": utils.Interval(float, 0, 1),
+        "full_factor": utils.Interval(float, 1, 100),
         "fill_share": utils.Interval(float, 0.1, 10),
         "lasting_after": utils.Interval(int, 1, 1000),
     }
@@ -107,6 +110,7 @@
         introductions=4.0,
         slow_weight=0.85,
         fill_share=0.8,
+        full_factor=1.7,
         lasting_after=4,
     ):
         self.data_centre = data_centre
@@ -122,6 +126,7 @@
         self.introductions = introductions
         self.slow_weight = slow_weight
         self.fill_share = fill_share
+        self.full_factor = full_factor
         self.lasting_after = lasting_after
 
     def prefers_new_server(self, processes, random_state):
@@ -227,6 +232,8 @@
         slots, held = self._occupancy(server)
         queueing = max(0, held + 1 - slots) / slots
         slowness = 1.0 + self.slow_weight * (server.slowness(now) - 1.0)
+        if slots > 1 and held + 1 > self.fill_share * slots:
+            slowness *= self.full_factor
         return slowness * (1.0 + queueing)
 
     @staticmethod
--- a/boragegw/platform/tests/test_load.py
+++ b/boragegw/platform/tests/test_load.py
@@ -46,6 +46,28 @@
         assert installation.backends[f"i-new-{number}"].runs
 
 
+class SmallBackend(standins.NoisyBackend):
+    """A backend server with three slots and a constant speed below two."""
+
+    def __init__(self, identity, address):
+        super().__init__(
+            identity, address, service_seconds=0.16, slots=3, slow_period_share=0.0
+        )
+
+
+@in_memory
+@pytest.mark.parametrize(("per_second", "least"), [(20, 0.99), (40, 0.99), (60, 0.95)])
+async def test_last_slot_of_small_servers_is_used_only_when_others_are_full(
+    per_second, least
+):
+    """Requests on the last slot take 1.7 times as long, and most slots are free."""
+    installation = await standins.start_noisy_installation(
+        backends=8, backend_class=SmallBackend, route_type="unsafe"
+    )
+    callers = await run_load(installation, per_second, seconds=8.0)
+    assert callers.in_time > least
+
+
 class SilentBackend(standins.NoisyBackend):
     """A backend server with noisy neighbours that sends no load reports."""
 
