--- a/boragegw/balancing/_admitted_shares.py
+++ b/boragegw/balancing/_admitted_shares.py
@@ -20,8 +20,8 @@
 #: Seconds for which a share is valid that is not confirmed. Owners that have died are
 #: replaced within 2 s.
 SHARE_SECONDS = 3.0
-#: Reports per second that the owner of an account gets at its limit. Beyond it, a
-#: report stands for several requests.
+#: Requests per second that are reported to the owner of an account at its limit. Beyond
+#: it, a random sample is reported, each for several requests.
 REPORTS_PER_SECOND = 200.0
 #: Maximum number of items in a datagram of 1,200 bytes.
 ITEMS_PER_MESSAGE = 40
@@ -34,14 +34,10 @@
 
 @dataclasses.dataclass(slots=True)
 class _Usage:
-    """Requests of an account that have not been reported yet.
-
-    :param threshold: number of offered requests from which they are reported.
-    """
+    """Requests of an account that have not been reported yet."""
 
     offered: int = 0
     admitted: int = 0
-    threshold: int = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -232,7 +228,6 @@
         self._shares = {}
         self._credits = {}
         self._sequence = 0
-        self._thresholds = {}
 
     def _capacity(self, account):
         return account.burst + self.tolerance_share * self.tolerance(account)
@@ -241,25 +236,18 @@
         """Admit all, or the share that the account's owners have told."""
         self._check_params()
         key = _allotments.account_id(account.name)
-        usage = self._usage(account, key, random_state)
-        usage.offered += 1
-        if usage.offered >= usage.threshold:
-            self._due.add(key)
         decision = self._decide(account, key, fleet, now, random_state)
-        usage.admitted += decision.is_admitted
+        weight = _report_weight(account)
+        if weight == 1 or random_state.random() * weight < 1.0:
+            self._count(key, weight, weight * decision.is_admitted)
         return decision
 
-    def _usage(self, account, key, random_state):
-        """Return the unreported requests; at first, a random number counts as reported.
-
-        Otherwise all processes would send their first report at the same time.
-        """
-        usage = self._usages.get(key)
-        if usage is None:
-            threshold = max(1, round(account.rate / REPORTS_PER_SECOND))
-            usage = self._usages[key] = _Usage(threshold=threshold)
-            usage.threshold = random_state.randint(1, threshold)
-        return usage
+    def _count(self, key, offered, admitted):
+        """Count requests to be reported to the owners of their account."""
+        usage = self._usages.setdefault(key, _Usage())
+        usage.offered += offered
+        usage.admitted += admitted
+        self._due.add(key)
 
     def _decide(self, account, key, fleet, now, random_state):
         if fleet.is_alone:
@@ -308,12 +296,12 @@
         return min(valid, key=lambda share: share.share)
 
     def refund(self, account):
-        """Report the request as never offered."""
-        usage = self._usages.get(_allotments.account_id(account.name))
-        if usage is not None:
-            usage.offered -= 1
-            usage.admitted -= 1
-            self._due.add(_allotments.account_id(account.name))
+        """Report the request as never offered.
+
+        Of an account of which only a sample is reported, few requests find no room.
+        """
+        if _report_weight(account) == 1:
+            self._count(_allotments.account_id(account.name), -1, -1)
         for policy in self._local_policies():
             policy.refund(account)
 
@@ -330,10 +318,6 @@
             for key in [key for key in known if key not in keys]:
                 del known[key]
         self._due &= keys
-        self._thresholds = {
-            _allotments.account_id(a.name): max(1, round(a.rate / REPORTS_PER_SECOND))
-            for a in accounts
-        }
 
     # Messages.
 
@@ -358,12 +342,11 @@
             usage = self._usages[key]
             item = _allotments.UsageItem(key, usage.offered, usage.admitted)
             usage.offered = usage.admitted = 0
-            usage.threshold = self._thresholds.get(key, 1)
             for owner in self._owners_of(key, fleet):
                 by_owner.setdefault(owner, []).append(item)
         self._due.clear()
         own_items = by_owner.pop(fleet.own_name, ())
-        self._count(own_items, now)
+        self._apply_items(own_items, now)
         return [
             _allotments.OutgoingMessage(
                 owner,
@@ -402,12 +385,12 @@
         if not self._ledger.is_news(message):
             return []
         if isinstance(message, _allotments.UsageReport):
-            self._count(message.items, now)
+            self._apply_items(message.items, now)
         else:
             self._apply_notice(message, now)
         return []
 
-    def _count(self, items, now):
+    def _apply_items(self, items, now):
         for item in items:
             self._ledger.apply(item, item.account in self._shares, now)
 
@@ -422,6 +405,11 @@
                 self._credits.pop(item.account, None)
 
 
+def _report_weight(account):
+    """Return the number of requests for which a reported one stands."""
+    return max(1, round(account.rate / REPORTS_PER_SECOND))
+
+
 def owners_of(key, fleet):
     """Return the names of an account's owners, in different data centres if possible.
 
--- a/boragegw/balancing/_allotments.py
+++ b/boragegw/balancing/_allotments.py
@@ -231,7 +231,7 @@
         rate = account.rate / fleet.processes
         share = self._capacity(account) / fleet.processes
         first = self._first_probability(account, fleet)
-        if self._is_new(now):
+        if fleet.processes > 1 and self._is_new(now):
             rate = share = 0.0
             first *= NEW_PROCESS_SHARE
         bucket = self._buckets.get(account.name)
