--- a/boragegw/gateway/_call.py
+++ b/boragegw/gateway/_call.py
@@ -7,6 +7,10 @@
 
 Verdict = errors.Verdict
 
+#: Seconds by which the final response precedes the caller's own deadline, so that it
+#: arrives before the caller gives up.
+DEADLINE_MARGIN = 0.015
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptRecord:
--- a/boragegw/gateway/_forwarder.py
+++ b/boragegw/gateway/_forwarder.py
@@ -1,18 +1,21 @@
 """Request forwarding: routing, attempts, retries, hedging and the final response."""
 
 import asyncio
-import contextlib
 import math
 
 from boragegw import balancing, errors
-from boragegw.gateway import _admission, _call, _delivery, _sender, _upstream
+from boragegw.gateway import (
+    _admission,
+    _admission_gate,
+    _call,
+    _delivery,
+    _sender,
+    _upstream,
+)
 
 Rejection = _admission.Rejection
 Verdict = errors.Verdict
 
-#: Seconds by which the final response precedes the caller's own deadline, so that it
-#: arrives before the caller gives up.
-DEADLINE_MARGIN = 0.015
 #: Share of the retry budget that hedges must leave to retries after failures.
 HEDGE_RESERVE = 0.35
 #: Seconds until a hedge that found no lightly loaded server is tried again. A short
@@ -27,21 +30,9 @@
 RESPONSE_LOG_INTERVAL = 64
 #: Retry-After in seconds for a request that crashes backend servers.
 RETRY_QUARANTINED = 60.0
-#: Retry-After in seconds while no configuration is known yet.
-RETRY_UNCONFIGURED = 0.3
-#: Seconds for which a request whose route or API key may be part of a configuration
-#: that this process has not read yet waits for it, and Retry-After if it has not come.
-BEHIND_WAIT = 0.3
-RETRY_BEHIND = 0.3
 #: Retry-After in seconds for a request whose route leads to no known service. An
 #: operator has to publish another configuration first.
 RETRY_UNKNOWN_SERVICE = 2.0
-#: Seconds after the start for which requests wait for the first configuration, which
-#: usually arrives within 15 ms. Later, requests wait only while it is arriving. If the
-#: store is unavailable, they are refused at once.
-INITIAL_CONFIGURATION_WAIT = 0.3
-#: Seconds between checks whether a configuration is still arriving.
-CONFIGURATION_POLL_INTERVAL = 0.05
 
 
 class Forwarder:
@@ -85,117 +76,28 @@
         self.log = log
         self.shedding = policies.make("shedding")
         self.admission = admission
+        self.gate = _admission_gate.AdmissionGate(
+            board, dialect, admission, now=now, log=log
+        )
         self.sender = _sender.Sender(
             board, dialect, selector, self.shedding, admission, now=now, log=log
         )
         self._services = {}
         self._traffic_splits = {}
-        self._wait_until = now() + INITIAL_CONFIGURATION_WAIT
-
-    def check_head(self, request):
-        """Admit a request by its head, before its body arrives.
-
-        :return: the status with which to refuse it, or 0 if it is admitted or if a
-            later configuration may admit it.
-        """
-        if self.board.configuration is None:
-            return 0
-        try:
-            request.admission = self.admission.admit(request)
-        except _admission.RejectedError as error:
-            no_route = error.rejection is Rejection.NO_ROUTE
-            if no_route or self._may_be_outdated(error):
-                return 0
-            self._record_rejection(request, error)
-            request.retry_after = error.retry_after
-            return error.rejection.status
-        return 0
 
     async def forward(self, request, writer):
         """Forward one request and write its response."""
-        await self._wait_for_configuration(request)
         try:
-            await self._admit(request)
+            await self.gate.admit(request)
             call = self._start_call(request)
         except _admission.RejectedError as error:
-            self._record_rejection(request, error)
+            self.gate.record_rejection(request, error)
             request_id = self.dialect.request_id(request.headers)
             status = error.rejection.status
             self._refuse(request, request_id, writer, status, error.retry_after)
             return
         await self._run(call, writer)
 
-    # Admission.
-
-    async def _wait_for_configuration(self, request):
-        """Wait for the first configuration as long as it is expected to arrive soon."""
-        if self.board.configuration is not None:
-            return
-        end = self._wait_end(request, INITIAL_CONFIGURATION_WAIT)
-        while self.board.configuration is None and (left := end - self.now()) > 0:
-            over = self.now() >= self._wait_until and not self.board.loading_snapshot
-            if over or request.caller_gone:
-                return
-            with contextlib.suppress(TimeoutError):  # the loop checks again
-                async with asyncio.timeout(min(CONFIGURATION_POLL_INTERVAL, left)):
-                    await self.board.configured.wait()
-
-    def _wait_end(self, request, default):
-        """Return until when a request may wait: its deadline, else ``default`` s."""
-        caller_timeout = self.dialect.caller_timeout(request.headers)
-        if caller_timeout is None:
-            return self.now() + default
-        return request.arrived + caller_timeout - DEADLINE_MARGIN
-
-    async def _admit(self, request):
-        """Store the admission of a request that has none yet.
-
-        :raises RejectedError: if the request must not be forwarded.
-        """
-        if request.admission is not None:
-            return
-        if self.board.configuration is None:
-            raise _admission.RejectedError(Rejection.UNCONFIGURED, RETRY_UNCONFIGURED)
-        end = min(self.now() + BEHIND_WAIT, self._wait_end(request, BEHIND_WAIT))
-        while request.admission is None:
-            try:
-                request.admission = self.admission.admit(request)
-            except _admission.RejectedError as error:
-                if not self._may_be_outdated(error):
-                    raise
-                if self.now() >= end or request.caller_gone:
-                    raise _admission.RejectedError(
-                        Rejection.BEHIND, RETRY_BEHIND
-                    ) from error
-                await asyncio.sleep(CONFIGURATION_POLL_INTERVAL)
-
-    def _may_be_outdated(self, error):
-        """Return whether a configuration that is not known yet may decide otherwise.
-
-        Guards against a 401 or 404 for a key or route that other processes have in
-        force already. Only a process that knows the latest configuration can tell that
-        it does not exist.
-        """
-        return not error.is_final and self.board.behind
-
-    def _record_rejection(self, request, error):
-        """Count and log a request that is not admitted.
-
-        :param error: a :class:`RejectedError`.
-        """
-        rejection = error.rejection
-        self.board.counters[f"requests.{rejection.counter}"] += 1
-        self.log.event(
-            "request-rejected",
-            request=self.dialect.request_id(request.headers).decode("latin-1"),
-            status=rejection.status,
-            reason=rejection.counter,
-            detail=error.detail,
-            retry_after=error.retry_after,
-            **error.fields,
-            after=round(self.now() - request.arrived, 4),
-        )
-
     def _start_call(self, request):
         """Return the :class:`Call` of an admitted request.
 
@@ -204,9 +106,11 @@
         admission = request.admission
         route = admission.route
         if self.sender.is_quarantined(request):
+            self.admission.refund(admission)
             raise _admission.RejectedError(Rejection.QUARANTINED, RETRY_QUARANTINED)
         service = self.board.configuration.services.get(self._next_service(route))
         if service is None:
+            self.admission.refund(admission)
             self.log.event("unknown-service", route=route.name)
             raise _admission.RejectedError(Rejection.NO_SERVICE, RETRY_UNKNOWN_SERVICE)
         now = self.now()
@@ -216,7 +120,7 @@
         caller_timeout = self.dialect.caller_timeout(request.headers)
         if caller_timeout is None:
             caller_timeout = math.inf
-        left = min(caller_timeout - DEADLINE_MARGIN, route.timeout)
+        left = min(caller_timeout - _call.DEADLINE_MARGIN, route.timeout)
         return _call.Call(
             request,
             self.dialect.request_id(request.headers),
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -233,7 +233,7 @@
 
     def check_head(self, request):
         """Return the status with which to refuse a request by its head, or 0."""
-        return self.forwarder.check_head(request)
+        return self.forwarder.gate.check_head(request)
 
     async def serve(self, request, writer):
         """Serve one request."""
--- a/boragegw/operations/_summary.py
+++ b/boragegw/operations/_summary.py
@@ -5,6 +5,8 @@
 
 #: Length of the time intervals of the summary, in seconds.
 STEP_SECONDS = 2.0
+#: Events of the log about such requests.
+PROBLEM_EVENTS = ("answered-late", "request-failed", "request-rejected")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,18 +71,20 @@
             problems.append(_build_problem(line, second, outcome))
         elif line.event == "left-out":
             counts = line.fields.get("lines", {})
-            omitted_lines += counts.get("request-failed", 0) + counts.get(
-                "answered-late", 0
-            )
+            omitted_lines += sum(counts.get(event, 0) for event in PROBLEM_EVENTS)
     return Summary(problems, omitted_lines)
 
 
 def _classify(line):
+    status = line.fields.get("status")
     if line.event == "answered-late":
         return "late"
+    if line.event == "request-rejected":
+        # Unknown keys and routes are the callers' mistakes.
+        return "refused" if status in (429, 503) else None
     if line.event != "request-failed":
         return None
-    return "refused" if line.fields.get("status") == 503 else "failed"
+    return "refused" if status == 503 else "failed"
 
 
 def _build_problem(line, second, outcome):
--- a/boragegw/operations/tests/test_timeline.py
+++ b/boragegw/operations/tests/test_timeline.py
@@ -135,6 +135,21 @@
     assert summary.omitted_lines == 3
 
 
+def test_rejections_count_as_refused_unless_the_caller_made_a_mistake():
+    rejections = [
+        line("gw-a", 1.0, "request-rejected", request="r1", status=429, reason="over"),
+        line(
+            "gw-a", 1.1, "request-rejected", request="r2", status=503, reason="behind"
+        ),
+        line("gw-a", 1.2, "request-rejected", request="r3", status=401, reason="key"),
+        line("gw-a", 2.0, "left-out", lines={"request-rejected": 5}),
+    ]
+    logs = operations.read_logs([adoption("gw-a", 0.0, 4), *rejections])
+    summary = operations.summarize(logs)
+    assert summary.by_second() == [(0.0, 2, 0, 0)]
+    assert summary.omitted_lines == 5
+
+
 def test_summary_of_log_files_on_the_command_line(tmp_path, capsys):
     log = tmp_path / "all.log"
     log.write_text("\n".join(PROBLEM_LINES))
--- a/boragegw/platform/tests/test_api_keys.py
+++ b/boragegw/platform/tests/test_api_keys.py
@@ -512,7 +512,8 @@
     )
     process = installation.processes["gw-0"]
     log = gateway.EventLog("gw-0", installation.loop.time, writer)
-    for part in (process, process.forwarder, process.forwarder.sender):
+    forwarder = process.forwarder
+    for part in (process, forwarder, forwarder.gate, forwarder.sender):
         part.log = log
     process.catalogue.decoder.log = process.catalogue.log = log
     process.catalogue.decoder._part_decoder.log = log
