Placement: the factor of the last slot applies to small servers only

Such a server has no capacity either way, so only the order among full ones had changed, but the last slot was meant to cost more only on servers too small to keep slots free. Servers of four slots or more are scored exactly as before again. Ruled out: a new expected line.

--- a/boragegw/balancing/_probing.py
+++ b/boragegw/balancing/_probing.py
@@ -232,7 +232,8 @@
         slots, held = self._occupancy(server)
         queueing = max(0, held + 1 - slots) / slots
         slowness = 1.0 + self.slow_weight * (server.slowness(now) - 1.0)
-        if slots > 1 and held + 1 > self.fill_share * slots:
+        is_small = 1 < slots < MIN_SLOTS_FOR_HEADROOM
+        if is_small and held + 1 > self.fill_share * slots:
             slowness *= self.full_factor
         return slowness * (1.0 + queueing)
 
