Allotments: the capacity of an account is computed in one place

The share of the tolerance and the sum with the burst stood in both policies of the product, and twice more in those of the benchmark. They are part of the base class now. The constant for processes that have just started stands beside the time for which it holds.

--- a/benchmarks/_allotment_policies.py
+++ b/benchmarks/_allotment_policies.py
@@ -23,8 +23,8 @@
 class DemandShares(balancing.AllotmentPolicy):
     """Divides the limit by the demand that the processes tell each other."""
 
-    def __init__(self, window=5.0, overshoot=0.25, slack=20.0):
-        super().__init__(window, overshoot, slack)
+    def __init__(self, window=5.0, overshoot=0.25, slack=20.0, tolerance_share=0.4):
+        super().__init__(window, overshoot, slack, tolerance_share)
         self._rates = {}
         self._others = {}
         self._buckets = {}
@@ -43,7 +43,7 @@
             if name in fleet.data_centres
         )
         share = max(own / (own + others), 0.5 / fleet.processes)
-        capacity = account.burst + 0.4 * self.tolerance(account)
+        capacity = self.capacity(account)
         bucket = self._buckets.setdefault(
             key, utils.TokenBucket(1.0, tokens=1.0, updated_at=now)
         )
@@ -93,8 +93,8 @@
     process starts with a lease instead.
     """
 
-    def __init__(self, window=5.0, overshoot=0.25, slack=20.0):
-        super().__init__(window, overshoot, slack)
+    def __init__(self, window=5.0, overshoot=0.25, slack=20.0, tolerance_share=0.4):
+        super().__init__(window, overshoot, slack, tolerance_share)
         self._accounts = {}
         self._tokens = {}
         self._asked_at = {}
@@ -131,7 +131,7 @@
 
     def _grant(self, key, now):
         account = self._accounts[key]
-        capacity = account.burst + 0.4 * self.tolerance(account)
+        capacity = self.capacity(account)
         bucket = self._buckets.setdefault(
             key, utils.TokenBucket(capacity, tokens=capacity, updated_at=now)
         )
--- a/boragegw/balancing/_admitted_shares.py
+++ b/boragegw/balancing/_admitted_shares.py
@@ -52,17 +52,10 @@
     Answers an account at many times its usual load, with hundreds of processes that
     each get few of its requests.
 
-    :param tolerance_share: share of the tolerance that is added to the burst. Shares
-        are told late by some tenths of a second, so that some of it must remain.
     :param started_at: monotonic seconds of the start of the process.
     :param incarnation: number of this start of the process.
     """
 
-    _parameter_constraints = {
-        **_allotments.AllotmentPolicy._parameter_constraints,
-        "tolerance_share": utils.Interval(float, 0, 1),
-    }
-
     def __init__(
         self,
         window=5.0,
@@ -72,12 +65,11 @@
         started_at=0.0,
         incarnation=0,
     ):
-        super().__init__(window, overshoot, slack)
-        self.tolerance_share = tolerance_share
+        super().__init__(window, overshoot, slack, tolerance_share)
         self.started_at = started_at
         self.incarnation = incarnation
         self._ledger = _usage_ledger.UsageLedger(
-            self._capacity, self._initial_tokens, started_at
+            self.capacity, self._initial_tokens, started_at
         )
         self._filter = _sequence_filter.SequenceFilter()
         self._alone = None
@@ -90,9 +82,6 @@
         self._credits = {}
         self._sequence = 0
 
-    def _capacity(self, account):
-        return account.burst + self.tolerance_share * self.tolerance(account)
-
     def _initial_tokens(self):
         return self.tolerance_share * self.slack
 
--- a/boragegw/balancing/_allotments.py
+++ b/boragegw/balancing/_allotments.py
@@ -10,14 +10,14 @@
 #: Shortest and longest Retry-After in seconds of a request over its account's limit.
 MIN_RETRY_AFTER = 0.05
 MAX_RETRY_AFTER = 5.0
-#: Seconds after its start in which a process does not know the size of the fleet.
+#: Seconds after its start in which a process does not know the size of the fleet, and
+#: share of the first requests that it admits then of those that others would admit.
 DISCOVERY_SECONDS = 2.0
+NEW_PROCESS_SHARE = 0.6
 #: Share of the processes that may be cut off from the others at the same time, and
 #: multiple of its rate that an account may send then.
 ISOLATED_SHARE = 1 / 3
 HOT_FACTOR = 7.0
-#: Share of the first requests that such a process admits of those that others admit.
-NEW_PROCESS_SHARE = 0.6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,24 +134,32 @@
     :param window: seconds in which the users count an account's requests.
     :param overshoot: share by which the requests in a window may exceed the limit.
     :param slack: number of requests by which they may exceed it in addition.
+    :param tolerance_share: share of the tolerance that is added to the burst. The rest
+        covers what processes admit before they know better.
     """
 
     _parameter_constraints = {
         "window": utils.Interval(float, 0.1, 3600),
         "overshoot": utils.Interval(float, 0, 10),
         "slack": utils.Interval(float, 0, 1e6),
+        "tolerance_share": utils.Interval(float, 0, 1),
     }
 
-    def __init__(self, window=5.0, overshoot=0.25, slack=20.0):
+    def __init__(self, window=5.0, overshoot=0.25, slack=20.0, tolerance_share=0.3):
         self.window = window
         self.overshoot = overshoot
         self.slack = slack
+        self.tolerance_share = tolerance_share
 
     def tolerance(self, account):
         """Return the requests in a window by which an account may exceed its limit."""
         limit = account.rate * self.window + account.burst
         return limit * self.overshoot + self.slack
 
+    def capacity(self, account):
+        """Return the maximum number of tokens of an account in the whole fleet."""
+        return account.burst + self.tolerance_share * self.tolerance(account)
+
     @abc.abstractmethod
     def admit(self, account, fleet, now, random_state):
         """Return the :class:`AllotmentDecision` on a request, and count it.
@@ -192,7 +200,6 @@
     An account whose requests reach few processes, or few at a time, is refused long
     before its limit. A process that sees no other one has no better knowledge.
 
-    :param tolerance_share: share of the tolerance that is added to the burst.
     :param first_share: share of the tolerance that the processes may use together by
         admitting a first request although their share is smaller than one request.
     :param max_first: maximum probability that a process does so.
@@ -203,7 +210,6 @@
 
     _parameter_constraints = {
         **AllotmentPolicy._parameter_constraints,
-        "tolerance_share": utils.Interval(float, 0, 1),
         "first_share": utils.Interval(float, 0, 1),
         "max_first": utils.Interval(float, 0, 1),
     }
@@ -218,8 +224,7 @@
         max_first=0.95,
         started_at=None,
     ):
-        super().__init__(window, overshoot, slack)
-        self.tolerance_share = tolerance_share
+        super().__init__(window, overshoot, slack, tolerance_share)
         self.first_share = first_share
         self.max_first = max_first
         self.started_at = started_at
@@ -229,7 +234,7 @@
         """Take a token of this process's share."""
         self._check_params()
         rate = account.rate / fleet.processes
-        share = self._capacity(account) / fleet.processes
+        share = self.capacity(account) / fleet.processes
         first = self._first_probability(account, fleet)
         if fleet.processes > 1 and self._is_new(now):
             rate = share = 0.0
@@ -261,9 +266,6 @@
     def _is_new(self, now):
         return self.started_at is not None and now < self.started_at + DISCOVERY_SECONDS
 
-    def _capacity(self, account):
-        return account.burst + self.tolerance_share * self.tolerance(account)
-
     def refund(self, account):
         """Return a token."""
         bucket = self._buckets.get(account.name)
