Callers: a body without memory is refused before it counts for its account

The admission came before the reservation of memory, so a request that was refused with 503 for want of memory had used up a token of its account, which was then refused below its limit: test_bodies_without_memory_do_not_use_up_the_limit got 429 beside 503 before. The reservation comes first now and is released with the refusal.

--- a/boragegw/gateway/_caller_connection.py
+++ b/boragegw/gateway/_caller_connection.py
@@ -206,9 +206,9 @@
         # The parser stops after a request that changes the protocol.
         error_status = 400 if self._parser.should_upgrade() else 0
         error_status = error_status or _head_error(request, self.gateway.limits)
+        error_status = error_status or self._body_memory_error(request)
         if _has_body(request):
             error_status = error_status or self.gateway.check_head(request)
-        error_status = error_status or self._body_memory_error(request)
         if error_status:
             self._refuse_now(error_status)
         elif request.header(b"expect") is not None:
--- a/boragegw/platform/tests/test_account_limits.py
+++ b/boragegw/platform/tests/test_account_limits.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from boragegw import balancing, standins
+from boragegw import standins
 from boragegw.platform.tests import test_api_keys
 
 in_memory = standins.in_memory
@@ -132,15 +132,28 @@
     assert set(sender.statuses()) == {503}
 
 
+@in_memory
+async def test_bodies_without_memory_do_not_use_up_the_limit():
+    """A refusal for want of memory comes before the request counts for its account."""
+    accounts = [account("acme", KEY, rate_per_s=1, burst=1)]
+    routes = [route(route_type="unsafe")]
+    installation = await start_installation(accounts, gateways=1, routes=routes)
+    installation.processes["gw-0"].body_memory.limit = 0
+    sender = Sender(installation, KEY)
+    await sender.run(20.0, 5.0, method="POST", body=b"x")
+    assert set(sender.statuses()) == {503}
+
+
 @in_memory
 async def test_hedges_and_retries_are_one_request():
-    """Each request runs twice, and the account is within its limit all the same."""
-    accounts = [account("acme", KEY, rate_per_s=8, burst=4)]
+    """Each request is sent twice, and counted twice it would be over the limit."""
+    accounts = [account("acme", KEY, rate_per_s=6, burst=4)]
     installation = await start_installation(accounts)
-    backend = installation.backends["i-0"]
-    backend.faults.reset_after_run = True
+    for backend in installation.backends.values():
+        backend.faults.reset_after_run = True
     sender = Sender(installation, KEY)
-    await sender.run(5.0, 15.0)
+    await sender.run(4.0, 15.0)
+    assert len(installation.runs()) > 1.5 * len(sender.replies)
     assert 429 not in sender.statuses()
 
 
@@ -281,6 +294,10 @@
     assert received == []
 
 
-def test_quota_settings_default_to_the_users_bounds():
-    policy = balancing.AdmittedShares()
-    assert (policy.window, policy.overshoot, policy.slack) == (5.0, 0.25, 20.0)
+@in_memory
+async def test_bounds_of_the_settings_reach_the_policy():
+    installation = standins.WireInstallation()
+    bounds = {"quota_window": 3.0, "quota_overshoot": 0.5, "quota_slack": 7.0}
+    process = await installation.add_gateway("gw-0", **bounds)
+    policy = process.allotments.policy
+    assert (policy.window, policy.overshoot, policy.slack) == (3.0, 0.5, 7.0)
