Accounts: the table names its limited accounts; what nobody calls is gone

The choice of the accounts with a limit stood in the exchange of the gateway and in the controller of the entries. AccountTable.find_name, __iter__ and __len__ have no caller any more. A relayed message is recognized by its type.

--- a/boragegw/accounts/_accounts.py
+++ b/boragegw/accounts/_accounts.py
@@ -64,20 +64,14 @@
         if holder is not account:
             self.conflicts.append((holder.name, account.name))
 
-    def __len__(self):
-        return len(self._by_name)
-
-    def __iter__(self):
-        return iter(self._by_name.values())
+    def limited_accounts(self):
+        """Return the accounts whose rate is limited."""
+        return [a for a in self._by_name.values() if a.is_limited]
 
     def find(self, digest):
         """Return the account that holds the key with this digest, or ``None``."""
         return self._by_digest.get(digest)
 
-    def find_name(self, name):
-        """Return the account with this name, or ``None``."""
-        return self._by_name.get(name)
-
 
 def key_digest(key):
     """Return the SHA-256 digest of an API key in bytes."""
--- a/boragegw/controllers/_allotments.py
+++ b/boragegw/controllers/_allotments.py
@@ -58,7 +58,8 @@
         table = self.board.configuration.accounts
         if table is not self._accounts:
             self._accounts = table
-            self.policy.update_accounts([a for a in table or () if a.is_limited])
+            limited = [] if table is None else table.limited_accounts()
+            self.policy.update_accounts(limited)
 
     def _fleet(self):
         own = self.board.identity
--- a/boragegw/gateway/_allotment_exchange.py
+++ b/boragegw/gateway/_allotment_exchange.py
@@ -46,8 +46,8 @@
         if configuration is self._configuration:
             return
         self._configuration = configuration
-        accounts = configuration.accounts or ()
-        self.policy.update_accounts([a for a in accounts if a.is_limited])
+        table = configuration.accounts
+        self.policy.update_accounts([] if table is None else table.limited_accounts())
 
     def _update_fleet(self):
         """Renew the view; equal data centres stay the same object."""
@@ -110,7 +110,7 @@
         if self.board.configuration is None:
             return
         self._update_accounts()
-        if getattr(message, "is_relayed", False):
+        if isinstance(message, balancing.LimitNotice) and message.is_relayed:
             notice = msgspec.structs.replace(message, is_relayed=False)
             self.membership.send_message(self._local(self._peers()), notice)
         for reply in self.policy.apply_message(message, self.fleet, self.now()):
