Generator: the digest of an API key is computed in one place

A change of one would have made every published key unknown. The test of published digests still compares with hashlib.

--- a/boragegw/configuration/_generator.py
+++ b/boragegw/configuration/_generator.py
@@ -5,9 +5,9 @@
 """
 
 import dataclasses
-import hashlib
 import math
 
+from boragegw import accounts
 from boragegw.configuration import _documents
 
 #: Levels of harm in ascending order.
@@ -46,7 +46,7 @@
 def _account_record(account):
     """Return the published form of an account, with digests in place of its keys."""
     record = account.model_dump(exclude={"api_keys"})
-    digests = [hashlib.sha256(key.encode()).hexdigest() for key in account.api_keys]
+    digests = [accounts.key_digest(key.encode()).hex() for key in account.api_keys]
     return {**record, "key_sha256": digests}
 
 
