Reachability: a process notices and tells that it reaches no server of a service

Callers of processes that were cut from all backend servers got 503 'no room' after 0.44 s in the median: the logs could not tell a service without room from one out of reach, and no other process knew.

A full or slow server still accepts a connection. The policy therefore counts connections that were not accepted, of different servers, without one accepted in between; silence on an open connection is only a reason to check. A lost service is checked until one server accepts; the first loss has all services checked, since one with few requests would find out by its callers. No decision uses it yet.

--- a/boragegw/balancing/__init__.py
+++ b/boragegw/balancing/__init__.py
@@ -28,6 +28,7 @@
     expected_latency,
 )
 from boragegw.balancing._quarantine import QuarantinePolicy
+from boragegw.balancing._reachability import ReachabilityPolicy, ServiceReach
 from boragegw.balancing._routing import (
     CallerLimits,
     Configuration,
@@ -73,7 +74,9 @@
     "ProbeBudget",
     "ProbingPolicy",
     "QuarantinePolicy",
+    "ReachabilityPolicy",
     "RetryBudget",
+    "ServiceReach",
     "Route",
     "RouteKind",
     "RouteTable",
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -17,6 +17,7 @@
     _forwarder,
     _membership,
     _peer_messages,
+    _reach_monitor,
     _reconciliation,
     _replication,
     _server_selector,
@@ -121,13 +122,18 @@
         policies = balancing.PolicySettings(settings.policies)
         shared = {"now": self.now, "log": self.log}
         randomized = {"random_state": self.random_state, **shared}
+        self.reach = _reach_monitor.ReachMonitor(
+            self.board, policies.make("reachability"), **randomized
+        )
         self.selector = _server_selector.ServerSelector(
             self.board,
             self.dialect,
             policies.make("asking", data_centre=settings.data_centre),
             policies.make("warmup"),
+            self.reach,
             **randomized,
         )
+        self.reach.connect = self.selector.check_connection
         self.local_member = _peer_messages.Member(
             name=settings.name,
             incarnation=int.from_bytes(os.urandom(8), "big") >> 1,
@@ -182,6 +188,7 @@
         )
         self.directory = _directory.DirectoryPolicy()
         self.catalogue.on_change = self._announce_ready
+        self.reach.on_change = self._announce_reach
         self.membership.on_allotment = self.allotments.receive
         self.membership.on_crash = self.forwarder.sender.observe_crash
         self.forwarder.sender.broadcast_crash = self.membership.broadcast_crash
@@ -324,6 +331,7 @@
         self.follower.check()
         self.membership.send_news()
         self.allotments.send_messages()
+        self.reach.check()
 
     def _announce_ready(self):
         if self.board.ready and self.local_member.life == _peer_messages.Life.STARTING:
@@ -331,6 +339,10 @@
             self.log.event("ready", position=self.catalogue.position)
             self.membership.announce()
 
+    def _announce_reach(self):
+        self.local_member.unreached = self.reach.published_ids()
+        self.membership.announce()
+
     def update_seeds(self, seeds):
         """Replace the seeds."""
         if tuple(seeds) != tuple(self._seeds):
--- a/boragegw/gateway/_membership.py
+++ b/boragegw/gateway/_membership.py
@@ -252,7 +252,13 @@
     def _own_state(self):
         """Return what all other processes should know at once if it changes."""
         own = self.local_member
-        return own.life, own.reads_store, own.watches_store, bool(own.revision)
+        return (
+            own.life,
+            own.reads_store,
+            own.watches_store,
+            bool(own.revision),
+            own.unreached,
+        )
 
     def _probe_for(self, known):
         if _is_heartbeat_only(known):
--- a/boragegw/gateway/_metrics.py
+++ b/boragegw/gateway/_metrics.py
@@ -34,6 +34,7 @@
     "attempts.failed": "attempts that ended without a whole answer",
     "probes.sent": "probes sent",
     "searches.full": "searches for a place that found no backend server with room",
+    "reach.checks": "checks whether the servers of a service can be connected to",
     "store.calls": "calls to the platform's store, a watch as one",
     "store.peer_reads": "reads from a process that watches the store",
     "sources.bytes": "bytes of answers of the store and of other processes",
@@ -54,6 +55,7 @@
     "store_position": "revision of the platform's store up to which all is known",
     "store_lag": "revisions by which others in sight know more than this process",
     "connections": "callers' connections that are open",
+    "services_lost": "services of which no backend server can be connected to",
 }
 HISTOGRAMS = {
     "request_seconds": "seconds from a request's first byte to its answer",
--- a/boragegw/gateway/_news.py
+++ b/boragegw/gateway/_news.py
@@ -138,6 +138,7 @@
         member.watches_store,
         age_ms,
         member.retained,
+        member.unreached,
     )
 
 
--- a/boragegw/gateway/_peer_messages.py
+++ b/boragegw/gateway/_peer_messages.py
@@ -38,6 +38,8 @@
         :mod:`~boragegw.gateway._reconciliation`.
     :param membership_format: see :data:`MEMBERSHIP_FORMAT`; 0 for processes that send
         none.
+    :param unreached: ids of the services of which it reaches no backend server, see
+        :func:`~boragegw.gateway._reach_monitor.service_id`.
     """
 
     name: str
@@ -54,6 +56,7 @@
     replica_format: int = 0
     retained: int = 0
     membership_format: int = 0
+    unreached: list[int] = []
 
 
 class GossipedMember(msgspec.Struct, array_like=True):
@@ -86,6 +89,7 @@
     :param age_ms: milliseconds since the sender heard of this state; 0 for the sender
         itself. An integer takes a third of the bytes of a float.
     :param retained: see :class:`Member`.
+    :param unreached: see :class:`Member`.
     """
 
     incarnation: int
@@ -96,6 +100,7 @@
     watches_store: bool
     age_ms: int = 0
     retained: int = 0
+    unreached: list[int] = []
 
 
 class UpdateBatch(msgspec.Struct, array_like=True, tag="p"):
--- /dev/null
+++ b/boragegw/gateway/_reach_monitor.py
@@ -0,0 +1,163 @@
+"""Notices services whose backend servers are out of reach, and publishes them."""
+
+from boragegw import balancing, utils
+from boragegw.gateway import _upstream
+
+#: Key under which the names of services are hashed for the membership messages.
+SERVICE_KEY = "service"
+#: Maximum number of services that a process publishes as out of reach. A heartbeat with
+#: them still fits into a datagram.
+MAX_PUBLISHED_SERVICES = 64
+
+
+def service_id(service_name):
+    """Return the 32-bit number that stands for a service in membership messages."""
+    return utils.stable_hash(SERVICE_KEY, service_name) & 0xFFFFFFFF
+
+
+class ReachMonitor:
+    """Observes contacts with backend servers and checks services that fail.
+
+    :param board: the :class:`Blackboard`.
+    :param policy: a :class:`~boragegw.balancing.ReachabilityPolicy`.
+    :ivar on_change: called after the services out of reach have changed, or ``None``.
+    :ivar connect: coroutine function that opens and closes a connection to a server;
+        set by the owner of the connections.
+    """
+
+    def __init__(self, board, policy, *, now, random_state, log):
+        self.board = board
+        self.policy = policy
+        self.now = now
+        self.random_state = random_state
+        self.log = log
+        self.on_change = None
+        self.connect = None
+        self._services = {}
+        self._checks = utils.TaskSet()
+
+    # Queries.
+
+    def is_lost(self, service_name):
+        """Return whether this process reaches no server of the service."""
+        reach = self._services.get(service_name)
+        return reach is not None and reach.is_lost
+
+    def lost_services(self):
+        """Return the names of the services that are out of reach, sorted."""
+        return sorted(name for name, reach in self._services.items() if reach.is_lost)
+
+    @property
+    def is_cut_off(self):
+        """Whether no service with servers can be reached."""
+        served = [name for name, servers in self.board.by_service.items() if servers]
+        return bool(served) and all(map(self.is_lost, served))
+
+    def published_ids(self):
+        """Return the ids of the services out of reach, as they are published."""
+        return [service_id(name) for name in self.lost_services()][
+            :MAX_PUBLISHED_SERVICES
+        ]
+
+    # Observations.
+
+    def observe_connect(self, server, failure):
+        """Record an attempt to connect to a server.
+
+        :param failure: an :class:`~boragegw.gateway.ExchangeError`, or ``None`` if the
+            connection was opened.
+        """
+        if failure is None:
+            self.observe_reached(server)
+        else:
+            self._observe_failed(server, failure)
+
+    def observe_reached(self, server):
+        """Record a response of a server."""
+        reach = self._reach(server)
+        was_lost = reach.is_lost
+        self.policy.observe_reached(reach)
+        if was_lost:
+            self.log.event(
+                "service-reached",
+                service=server.listing.service,
+                server=server.identity,
+            )
+            self._publish()
+
+    def observe_silence(self, server):
+        """Record that a server did not answer on a connection that was open before."""
+        self.policy.observe_silence(self._reach(server), server.identity, self.now())
+
+    def _observe_failed(self, server, failure):
+        service_name = server.listing.service
+        servers = self.board.by_service.get(service_name, ())
+        reach = self._reach(server)
+        is_new = self.policy.observe_failed(
+            reach, server.identity, max(1, len(servers)), self.now()
+        )
+        if not is_new:
+            return
+        self.log.event(
+            "service-lost",
+            service=service_name,
+            failed=len(reach.failed),
+            servers=len(servers),
+            reason=str(failure),
+        )
+        self._publish()
+        self._check_all_services()
+
+    def _reach(self, server):
+        return self._service_reach(server.listing.service)
+
+    def _service_reach(self, service_name):
+        reach = self._services.get(service_name)
+        if reach is None:
+            reach = self._services[service_name] = balancing.ServiceReach()
+        return reach
+
+    def _publish(self):
+        if self.on_change is not None:
+            self.on_change()
+
+    # Checks.
+
+    def check(self):
+        """Check the services that fail; to be called several times a second."""
+        now = self.now()
+        for service_name, reach in list(self._services.items()):
+            if not self.board.by_service.get(service_name):
+                self._forget(service_name, reach)
+            elif self.policy.is_check_due(reach, now):
+                self._start_check(service_name)
+
+    def _check_all_services(self):
+        """Check the other services too: what interrupts one often interrupts all.
+
+        Guards against a service with few requests, whose first ones would find out.
+        """
+        for service_name, servers in self.board.by_service.items():
+            if servers and not self.is_lost(service_name):
+                self._service_reach(service_name).checked_at = self.now()
+                self._start_check(service_name)
+
+    def _forget(self, service_name, reach):
+        """Forget a service that has no servers any more."""
+        del self._services[service_name]
+        if reach.is_lost:
+            self._publish()
+
+    def _start_check(self, service_name):
+        self.board.counters["reach.checks"] += 1
+        servers = [s for s in self.board.by_service[service_name] if not s.leaving]
+        for server in self.policy.choose_servers(servers, self.random_state):
+            self._checks.start(self._check(server), "reach check")
+
+    async def _check(self, server):
+        """Open a connection, whose outcome the connection pool reports."""
+        try:
+            await self.connect(server)
+        except _upstream.ExchangeError:
+            # The pool has reported the failure as an observation.
+            return
--- a/boragegw/gateway/_roster.py
+++ b/boragegw/gateway/_roster.py
@@ -207,6 +207,7 @@
                 reads_store=update.reads_store,
                 watches_store=update.watches_store,
                 retained=update.retained,
+                unreached=update.unreached,
             )
         return self._apply_state(known, member, heard_at, direct)
 
@@ -320,6 +321,7 @@
         or member.reads_store != other.reads_store
         or member.watches_store != other.watches_store
         or member.retained != other.retained
+        or member.unreached != other.unreached
         or bool(member.revision) != bool(other.revision)
     )
 
--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -82,7 +82,9 @@
         for _ in range(MAX_SELECTIONS):
             selection = await self._select_server(call, hedge)
             if selection is None:
-                return _call.AttemptOutcome(Verdict.NOT_RUN, reason="no room")
+                is_lost = self.selector.reach.is_lost(call.service.name)
+                reason = "no server reached" if is_lost else "no room"
+                return _call.AttemptOutcome(Verdict.NOT_RUN, reason=reason)
             server = selection.server
             pool = self.selector.pool(server)
             now = self.now()
@@ -245,6 +247,7 @@
         except (_upstream.ExchangeError, TimeoutError) as error:
             connection.abort()
             self._observe_failure(server)
+            self.selector.reach.observe_silence(server)
             self.board.counters["attempts.failed"] += 1
             reason = getattr(error, "failure", _upstream.Failure.TIMEOUT)
             self.log.event(
--- a/boragegw/gateway/_server_selector.py
+++ b/boragegw/gateway/_server_selector.py
@@ -77,6 +77,29 @@
         return bool(self.probed and not self.responded)
 
 
+class _ServerPool(_upstream.ConnectionPool):
+    """Connections to one backend server, whose outcomes a monitor observes.
+
+    :param server: the server at the pool's address.
+    :param reach: the :class:`ReachMonitor`.
+    """
+
+    def __init__(self, server, reach, now):
+        super().__init__(server.listing.address, now)
+        self.server = server
+        self.reach = reach
+
+    async def connect(self):
+        """Open a new connection and report whether that succeeded."""
+        try:
+            connection = await super().connect()
+        except _upstream.ExchangeError as error:
+            self.reach.observe_connect(self.server, error)
+            raise
+        self.reach.observe_connect(self.server, None)
+        return connection
+
+
 class ServerSelector:
     """Selects a backend server for a request by probing candidates.
 
@@ -84,15 +107,19 @@
     :param dialect: a :class:`Dialect`.
     :param policy: a :class:`~boragegw.balancing.ProbingPolicy`.
     :param warmup: the policy that limits requests to cold servers.
+    :param reach: the :class:`ReachMonitor`.
     :param now: function that returns monotonic seconds.
     :param log: an :class:`EventLog`.
     """
 
-    def __init__(self, board, dialect, policy, warmup, *, now, random_state, log):
+    def __init__(
+        self, board, dialect, policy, warmup, reach, *, now, random_state, log
+    ):
         self.board = board
         self.dialect = dialect
         self.policy = policy
         self.warmup = warmup
+        self.reach = reach
         self.now = now
         self.random_state = random_state
         self.log = log
@@ -281,7 +308,9 @@
         key = server.listing.address
         pool = self._pools.get(key)
         if pool is None:
-            pool = self._pools[key] = _upstream.ConnectionPool(key, self.now)
+            pool = self._pools[key] = _ServerPool(server, self.reach, self.now)
+        # The address of a server that is gone may be that of another one now.
+        pool.server = server
         return pool
 
     def connection_limit(self, service):
@@ -319,6 +348,7 @@
             pool.discard(connection)
             pool.close()
             server.failures.observe(True, self.now())
+            self.reach.observe_silence(server)
             return None
         except asyncio.CancelledError:
             pool.discard(connection)
@@ -346,6 +376,7 @@
     def _process_response(self, search, server, connection, response):
         now = self.now()
         search.responded += 1
+        self.reach.observe_reached(server)
         health = self.dialect.parse_health(response, now)
         if health.identity and health.identity != server.identity:
             server.moved = True
@@ -377,6 +408,14 @@
         self.pool(server).discard(connection)
         return False
 
+    async def check_connection(self, server):
+        """Open a connection to a server and close it again.
+
+        :raises ExchangeError: if none can be opened.
+        """
+        pool = self.pool(server)
+        pool.discard(await pool.connect())
+
     def close_pools(self, addresses):
         """Close the connections to addresses that are no longer listed."""
         for address in addresses:
--- /dev/null
+++ b/boragegw/gateway/tests/test_reach_monitor.py
@@ -0,0 +1,56 @@
+"""What a process notices and publishes when it loses its backend servers."""
+
+import asyncio
+
+from boragegw import standins
+
+
+def cut_from_servers(installation, name):
+    for identity in installation.backends:
+        installation.network.cut(name, f"host-{identity}")
+
+
+def heal(installation, name):
+    for identity in installation.backends:
+        installation.network.heal(name, f"host-{identity}")
+
+
+async def keep_calling(installation, name, seconds):
+    end = installation.loop.time() + seconds
+    while installation.loop.time() < end:
+        await installation.call(to=name)
+        await asyncio.sleep(0.05)
+
+
+def published(installation, name, about):
+    members = installation.processes[name].membership.alive()
+    return next(m.unreached for m in members if m.name == about)
+
+
+@standins.in_memory
+async def test_process_cut_from_all_servers_tells_its_peers():
+    installation = await standins.WireInstallation().start(gateways=3, backends=6)
+    cut_from_servers(installation, "gw-1")
+    await keep_calling(installation, "gw-1", 1.0)
+    assert installation.processes["gw-1"].reach.lost_services() == ["app"]
+    assert installation.processes["gw-1"].reach.is_cut_off
+    assert published(installation, "gw-0", "gw-1")
+    assert not published(installation, "gw-1", "gw-0")
+
+
+@standins.in_memory
+async def test_service_counts_as_reached_soon_after_the_cut_has_ended():
+    installation = await standins.WireInstallation().start(gateways=3, backends=6)
+    cut_from_servers(installation, "gw-1")
+    await keep_calling(installation, "gw-1", 1.0)
+    heal(installation, "gw-1")
+    await asyncio.sleep(0.7)
+    assert not installation.processes["gw-1"].reach.lost_services()
+    assert not published(installation, "gw-0", "gw-1")
+
+
+@standins.in_memory
+async def test_calm_process_checks_nothing():
+    installation = await standins.WireInstallation().start(gateways=2, backends=6)
+    await keep_calling(installation, "gw-0", 3.0)
+    assert not installation.processes["gw-0"].board.counters["reach.checks"]
--- a/boragegw/platform/_endpoints.py
+++ b/boragegw/platform/_endpoints.py
@@ -96,6 +96,7 @@
             "store_position": process.catalogue.position,
             "store_lag": process.follower.lag,
             "connections": len(process.connections),
+            "services_lost": len(process.reach.lost_services()),
         }
         text = gateway.render_metrics(
             board.counters, gauges, board.histograms, board.accounts.largest()
