Platform: a failing test of processes that are cut from all backend servers

The in-memory network learns partitions: packets lost in one are retransmitted in order when it ends, as TCP does, unless the sender has reset the connection, and new connections retry after 1, 3 and 7 s. A caller that stops waiting closes its connection.

--- a/boragegw/standins/__init__.py
+++ b/boragegw/standins/__init__.py
@@ -12,6 +12,11 @@
 
 from boragegw.standins._allotment_fleet import AccountLoad, AllotmentFleet
 from boragegw.standins._caller import Caller, CallerResponse
+from boragegw.standins._directory_callers import (
+    Attempt,
+    DirectoryCallers,
+    RequestKind,
+)
 from boragegw.standins._history_checks import ResponseEvent, find_violations
 from boragegw.standins._http_backend import BackendFaults, StandinBackend
 from boragegw.standins._load_generator import (
@@ -27,6 +32,7 @@
     run_in_memory,
 )
 from boragegw.standins._noisy_backend import NoisyBackend
+from boragegw.standins._partition import PartitionMode
 from boragegw.standins._platform import PublishedState, StandinPlatform
 from boragegw.standins._port_reservation import PortReservation
 from boragegw.standins._route_generator import generate_routes
@@ -50,6 +56,7 @@
 __all__ = [
     "AccountLoad",
     "AllotmentFleet",
+    "Attempt",
     "CURRENT_HOST",
     "PEER_PORT",
     "STORE_ADDRESS",
@@ -60,11 +67,14 @@
     "BackendFaults",
     "Caller",
     "CallerResponse",
+    "DirectoryCallers",
     "LoadGenerator",
     "LocalFleet",
     "MemoryLoop",
     "NoisyBackend",
+    "PartitionMode",
     "PublishedState",
+    "RequestKind",
     "RunEvent",
     "ServiceSpec",
     "OutcomeShares",
--- a/boragegw/standins/_memory_network.py
+++ b/boragegw/standins/_memory_network.py
@@ -12,7 +12,7 @@
 import functools
 
 from boragegw import utils
-from boragegw.standins import _links
+from boragegw.standins import _links, _partition
 
 #: One-way delay in seconds between any two addresses.
 DELAY_SECONDS = 0.0005
@@ -42,6 +42,7 @@
         self._lost = False
         self._paused = False
         self._buffered = collections.deque()
+        self._unacknowledged = []
         self._flow = _links.Flow(loop.network, self)
 
     def get_extra_info(self, name, default=None):
@@ -114,6 +115,11 @@
     def _transmit(self, kind, data):
         if kind == "reset":
             self._flow.discard_pending()
+            self._unacknowledged.clear()
+        partition = self.loop.network.partition_between(self.local[0], self.remote[0])
+        if partition is not None and partition.loses_packets:
+            self._unacknowledged.append((kind, data))
+            return
         if not self.reaches_peer():
             return
         network = self.loop.network
@@ -125,6 +131,19 @@
             network.delay, peer.receive, kind, data, context=peer.context
         )
 
+    def retransmit(self):
+        """Send what was lost in a partition, in order."""
+        lost, self._unacknowledged = self._unacknowledged, []
+        if lost and self.reaches_peer():
+            delay = self.loop.network.delay
+            self.loop.call_later(
+                delay, self._deliver_all, lost, context=self.peer.context
+            )
+
+    def _deliver_all(self, packets):
+        for kind, data in packets:
+            self.peer.receive(kind, data)
+
     def receive(self, kind, data):
         """Receive data, the end of a direction or a reset from the peer."""
         if self._lost:
@@ -193,6 +212,7 @@
         self.datagrams = {}
         self.connections = []
         self._cuts = set()
+        self._partitions = []
         self._outgoing = {}
         self._incoming = {}
 
@@ -228,6 +248,41 @@
         """Return whether traffic from ``source`` to ``target`` is dropped."""
         return (source, target) in self._cuts
 
+    def partition(self, hosts, others, mode):
+        """Partition each of ``hosts`` from each of ``others``.
+
+        :param mode: a :class:`~boragegw.standins.PartitionMode`.
+        :returns: the partition, for :meth:`end_partition`.
+        """
+        partition = _partition.Partition(frozenset(hosts), frozenset(others), mode)
+        self._partitions.append(partition)
+        if partition.resets_connections:
+            for client, server in self._connections_across(partition):
+                client.reset_locally()
+                server.reset_locally()
+        return partition
+
+    def end_partition(self, partition):
+        """End a partition; packets lost in it are retransmitted."""
+        self._partitions.remove(partition)
+        for client, server in self._connections_across(partition):
+            client.retransmit()
+            server.retransmit()
+
+    def partition_between(self, one, other):
+        """Return a partition between two hosts, ``None`` if there is none."""
+        for partition in self._partitions:
+            if partition.separates(one, other):
+                return partition
+        return None
+
+    def _connections_across(self, partition):
+        return [
+            (client, server)
+            for client, server in self.connections
+            if partition.separates(client.local[0], server.local[0])
+        ]
+
     def blackhole_connections(self, host):
         """Drop the traffic of all open connections of ``host``; new ones work."""
         for client, server in self.connections:
@@ -259,6 +314,7 @@
         await asyncio.sleep(2 * self.delay)
         if self.is_cut(source, target[0]):
             await asyncio.sleep(60.0)
+        await self._pass_partitions(source, target[0])
         server_factory = self.listeners.get(target)
         if server_factory is None:
             raise ConnectionRefusedError(f"nothing listens on {target}")
@@ -272,6 +328,15 @@
         protocol.connection_made(client)
         return client, protocol
 
+    async def _pass_partitions(self, source, target):
+        for seconds in _partition.SYN_INTERVALS_SECONDS:
+            partition = self.partition_between(source, target)
+            if partition is None:
+                return
+            partition.check_new_connection()
+            await asyncio.sleep(seconds)
+        raise TimeoutError(f"{target} does not respond")
+
 
 class MemoryLoop(utils.VirtualTimeLoop):
     """A virtual time loop with an in-memory network.
--- a/boragegw/standins/_wire_installation.py
+++ b/boragegw/standins/_wire_installation.py
@@ -216,6 +216,9 @@
                     await response.changed()
         except (gateway.ExchangeError, OSError):
             return Response(0, {}, b"", self.loop.time() - started)
+        except asyncio.CancelledError:
+            client.abort()
+            raise
         response_headers = {k.decode(): v.decode() for k, v in response.headers}
         return Response(
             response.status, response_headers, received, self.loop.time() - started
