Relay: requests of a process without servers go to a process that reaches them

What callers saw: first tries at processes that were cut from all backend servers got 503 after 0.44 s (0 of 185 against 128 of 128).

Cause: a process could serve only what it reaches itself. Being out of reach was treated as being out of room, and callers keep its address for 3 to 9 s, so that neither refusing at once nor leaving the directory could serve their first tries.

Now a process whose service is lost relays the request to one that does not publish that loss, over a listener of its own (third internal port): one hop, since a request from there is never relayed; one attempt, so that retries and hedges stay with the process that the caller asked and are charged once to the budget; deadline, service and configuration version are passed on, and an older configuration is a reason not to take it; the account is counted where the caller asked, the key is checked at both. A refusal there is not run and may be offered to another process, a lost connection may have run.

Weighed: refusing at once with Retry-After, and leaving the directory: both leave the first try unserved. Handing all requests to the caller port of a peer: a caller could then forge the header, and nothing would bound the hops.

--- a/boragegw/balancing/__init__.py
+++ b/boragegw/balancing/__init__.py
@@ -29,6 +29,7 @@
 )
 from boragegw.balancing._quarantine import QuarantinePolicy
 from boragegw.balancing._reachability import ReachabilityPolicy, ServiceReach
+from boragegw.balancing._relaying import RelayPolicy
 from boragegw.balancing._routing import (
     CallerLimits,
     Configuration,
@@ -75,6 +76,7 @@
     "ProbingPolicy",
     "QuarantinePolicy",
     "ReachabilityPolicy",
+    "RelayPolicy",
     "RetryBudget",
     "ServiceReach",
     "Route",
--- a/boragegw/gateway/_admission.py
+++ b/boragegw/gateway/_admission.py
@@ -74,10 +74,12 @@
     """An admitted request.
 
     :param route: its :class:`~boragegw.balancing.Route`.
+    :param is_counted: whether this process has counted it for its client account.
     """
 
     route: balancing.Route
     identity: CallerIdentity
+    is_counted: bool = True
 
 
 class AdmissionControl:
@@ -96,14 +98,17 @@
     def admit(self, request):
         """Return the :class:`Admission` of a request, and count it for its account.
 
+        A relayed request has been counted by the process that relays it.
+
         :raises RejectedError: if no route matches it, its API key is not valid, or its
             account is over its limit.
         """
         route = self._match(request)
         identity = self._identify(request, route)
-        if identity.account is not None:
+        is_counted = request.relay is None
+        if identity.account is not None and is_counted:
             self._check_limit(identity.account)
-        return Admission(route, identity)
+        return Admission(route, identity, is_counted)
 
     def _check_limit(self, account):
         if not account.is_limited:
@@ -130,7 +135,7 @@
     def refund(self, admission):
         """Take back an admission whose request has not run."""
         account = admission.identity.account
-        if account is not None and account.is_limited:
+        if account is not None and account.is_limited and admission.is_counted:
             self.allotments.refund(account)
 
     def _match(self, request):
@@ -170,4 +175,4 @@
         identity = self._identify(request, admission.route)
         if identity.account_name != admission.identity.account_name:
             raise RejectedError(Rejection.MOVED_KEY, RETRY_MOVED_KEY)
-        return Admission(admission.route, identity)
+        return Admission(admission.route, identity, admission.is_counted)
--- a/boragegw/gateway/_call.py
+++ b/boragegw/gateway/_call.py
@@ -38,6 +38,7 @@
     :param admitted_at: monotonic seconds at which the request was complete, first in
         the queue of its connection, and its route was known.
     :param deadline: monotonic seconds at which the caller gets the final response.
+    :param max_attempts: maximum number of times that the request may be sent.
     :param tried: identities of the servers to which the request was sent.
     :param attempts: number of times that the request was sent.
     :param attempt_records: an :class:`AttemptRecord` for each attempt.
@@ -59,6 +60,7 @@
     state: object
     admitted_at: float
     deadline: float
+    max_attempts: int = 1
     tried: set = dataclasses.field(default_factory=set)
     attempts: int = 0
     attempt_records: list = dataclasses.field(default_factory=list)
@@ -97,7 +99,9 @@
     :param response: the backend server's response, complete or large enough to be
         passed on.
     :param connection: the connection that still carries an incomplete response.
+    :param server: the backend server, or the process to which it was relayed.
     :param reason: why the attempt failed, or "".
+    :param pool: the pool to which the connection returns.
     """
 
     verdict: Verdict
@@ -105,10 +109,11 @@
     server: object = None
     connection: object = None
     reason: str = ""
+    pool: object = None
 
     @property
     def sent(self):
-        """Whether the request was sent to a backend server."""
+        """Whether the request was sent."""
         return self.server is not None
 
     @property
--- a/boragegw/gateway/_caller_connection.py
+++ b/boragegw/gateway/_caller_connection.py
@@ -35,6 +35,8 @@
     :param admission: the :class:`~boragegw.gateway.Admission` that its head has got, or
         ``None`` if that is still to be decided.
     :param disconnected: future that completes when the caller disconnects.
+    :param relay: a :class:`~boragegw.gateway._relay_messages.RelayInfo` if another
+        process relays the request, else ``None``.
     """
 
     method: bytes = b""
@@ -48,6 +50,7 @@
     retry_after: float | None = None
     admission: object = None
     disconnected: object = None
+    relay: object = None
 
     def header(self, name):
         """Return the first value of ``name`` (bytes in lower case), or ``None``."""
--- a/boragegw/gateway/_dialect.py
+++ b/boragegw/gateway/_dialect.py
@@ -50,6 +50,17 @@
         :param identity: a :class:`~boragegw.gateway.CallerIdentity`.
         """
 
+    @abc.abstractmethod
+    def relay_head(self, request, relay_header, seconds_left):
+        """Return the head of a request as it is relayed to another process, in bytes.
+
+        The credentials are passed on: the other process checks them.
+
+        :param relay_header: pair of name and value in bytes, which replaces a header of
+            that name.
+        :param seconds_left: seconds until the caller's deadline.
+        """
+
     @abc.abstractmethod
     def health_request(self, service, server):
         """Return the bytes of a health request, which asks ``server`` for its load."""
--- a/boragegw/gateway/_forwarder.py
+++ b/boragegw/gateway/_forwarder.py
@@ -108,14 +108,16 @@
         if self.sender.is_quarantined(request):
             self.admission.refund(admission)
             raise _admission.RejectedError(Rejection.QUARANTINED, RETRY_QUARANTINED)
-        service = self.board.configuration.services.get(self._next_service(route))
+        service_name = self._chosen_service(request, route)
+        service = self.board.configuration.services.get(service_name)
         if service is None:
             self.admission.refund(admission)
             self.log.event("unknown-service", route=route.name)
             raise _admission.RejectedError(Rejection.NO_SERVICE, RETRY_UNKNOWN_SERVICE)
         now = self.now()
         state = self.service_state(service.name)
-        state.retry_budget.observe_request(now)
+        if request.relay is None:
+            state.retry_budget.observe_request(now)
         state.ranks.observe(_call.request_priority(admission), now)
         caller_timeout = self.dialect.caller_timeout(request.headers)
         if caller_timeout is None:
@@ -129,8 +131,19 @@
             state,
             now,
             request.arrived + left,
+            # The process that relays a request decides on further attempts.
+            max_attempts=route.max_attempts if request.relay is None else 1,
         )
 
+    def _chosen_service(self, request, route):
+        """Return the service that was chosen for a relayed request, else the next."""
+        if request.relay is not None and any(
+            weighted.service == request.relay.service
+            for weighted in route.weighted_services
+        ):
+            return request.relay.service
+        return self._next_service(route)
+
     def _next_service(self, route):
         """Return the name of the service for the next request, or ``None``.
 
@@ -234,7 +247,7 @@
         The wait starts with the first attempt. The time that the caller takes to send
         its request says nothing about a backend server.
         """
-        if not call.idempotent or call.route.max_attempts < 2:
+        if not call.idempotent or call.max_attempts < 2:
             return math.inf
         delay = call.state.hedging.delay(call.route.target_latency)
         since = self.now() if call.last_progress_at is None else call.last_progress_at
@@ -256,7 +269,7 @@
         )
 
     def _may_hedge(self, call, state, now):
-        if call.attempts >= call.route.max_attempts:
+        if call.attempts >= call.max_attempts:
             return False
         if state.saturation.share(now) > HEDGE_SATURATION:
             return False
@@ -269,7 +282,7 @@
             return False
         if call.may_have_run and not call.idempotent:
             return False
-        if call.attempts >= call.route.max_attempts or not call.attempts:
+        if call.attempts >= call.max_attempts or not call.attempts:
             return False
         return state.retry_budget.try_spend(now, self.board.processes)
 
@@ -320,7 +333,7 @@
             writer.abort()
             self._record_truncated_response(call, outcome, error.failure)
         if outcome.connection is not None:
-            self.selector.pool(outcome.server).release(outcome.connection)
+            outcome.pool.release(outcome.connection)
 
     def _record_truncated_response(self, call, outcome, failure):
         """Count and log a response of which the caller has received only a part."""
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -19,6 +19,8 @@
     _peer_messages,
     _reach_monitor,
     _reconciliation,
+    _relay,
+    _relay_listener,
     _replication,
     _server_selector,
 )
@@ -44,6 +46,8 @@
     :param data_centre: data centre in which the process runs.
     :param caller_address: ``(host, port)`` for callers.
     :param peer_address: ``(host, port)`` for other processes, TCP and UDP.
+    :param relay_address: ``(host, port)`` for requests that other processes relay, or
+        ``None`` to take none.
     :param seeds: hosts on which other processes may run.
     :param shutdown_timeout: seconds from SIGTERM until the process is killed.
     :param link_mbps: bandwidth of the machine's link in megabits per second.
@@ -66,6 +70,7 @@
     caller_address: tuple
     peer_address: tuple
     seeds: tuple
+    relay_address: tuple | None = None
     shutdown_timeout: float = 6.0
     link_mbps: float = 1000.0
     bootstrap: bool = False
@@ -144,6 +149,9 @@
             link_mbps=settings.link_mbps,
             replica_format=_peer_messages.REPLICA_FORMAT,
             membership_format=_peer_messages.MEMBERSHIP_FORMAT,
+            relay_port=0
+            if settings.relay_address is None
+            else settings.relay_address[1],
         )
         self.membership = _membership.Membership(
             self.board, self.local_member, self._seed_addresses, **randomized
@@ -186,6 +194,14 @@
         self.replicas = _replication.ReplicaServer(
             self.catalogue, now=self.now, incarnation=self.local_member.incarnation
         )
+        self.forwarder.sender.relay = _relay.Relay(
+            self.board,
+            self.dialect,
+            self.membership,
+            self.reach,
+            policies.make("relaying"),
+            **randomized,
+        )
         self.directory = _directory.DirectoryPolicy()
         self.catalogue.on_change = self._announce_ready
         self.reach.on_change = self._announce_reach
@@ -291,6 +307,7 @@
             **listen_on,
         )
         self._listeners.append(listener)
+        await self._listen_for_relays()
         self.log.event("start", incarnation=self.local_member.incarnation)
         self.membership.tick()
         self._start_task(self.follower.run())
@@ -307,6 +324,18 @@
             self._run_periodically(IDLE_CHECK_INTERVAL, self.selector.sweep)
         )
 
+    async def _listen_for_relays(self):
+        address = self.settings.relay_address
+        if address is None:
+            return
+        owner = _relay_listener.RelayListener(self)
+        listener = await asyncio.get_running_loop().create_server(
+            lambda: _caller_connection.CallerConnection(owner),
+            *address,
+            backlog=LISTEN_BACKLOG,
+        )
+        self._listeners.append(listener)
+
     async def listen(self, handler, address):
         """Serve ``handler`` on another ``address`` until the process ends."""
         endpoint = _endpoint.Endpoint(handler, now=self.now)
--- a/boragegw/gateway/_peer_messages.py
+++ b/boragegw/gateway/_peer_messages.py
@@ -39,7 +39,9 @@
     :param membership_format: see :data:`MEMBERSHIP_FORMAT`; 0 for processes that send
         none.
     :param unreached: ids of the services of which it reaches no backend server, see
-        :func:`~boragegw.gateway._reach_monitor.service_id`.
+        :meth:`~boragegw.gateway._reach_monitor.ReachMonitor.service_id`.
+    :param relay_port: port for requests that other processes relay, on the host of
+        ``peer_address``; 0 for processes that take none.
     """
 
     name: str
@@ -57,6 +59,7 @@
     retained: int = 0
     membership_format: int = 0
     unreached: list[int] = []
+    relay_port: int = 0
 
 
 class GossipedMember(msgspec.Struct, array_like=True):
--- a/boragegw/gateway/_reach_monitor.py
+++ b/boragegw/gateway/_reach_monitor.py
@@ -10,11 +10,6 @@
 MAX_PUBLISHED_SERVICES = 64
 
 
-def service_id(service_name):
-    """Return the 32-bit number that stands for a service in membership messages."""
-    return utils.stable_hash(SERVICE_KEY, service_name) & 0xFFFFFFFF
-
-
 class ReachMonitor:
     """Observes contacts with backend servers and checks services that fail.
 
@@ -43,6 +38,11 @@
         reach = self._services.get(service_name)
         return reach is not None and reach.is_lost
 
+    @staticmethod
+    def service_id(service_name):
+        """Return the 32-bit number that stands for a service among the processes."""
+        return utils.stable_hash(SERVICE_KEY, service_name) & 0xFFFFFFFF
+
     def lost_services(self):
         """Return the names of the services that are out of reach, sorted."""
         return sorted(name for name, reach in self._services.items() if reach.is_lost)
@@ -55,9 +55,8 @@
 
     def published_ids(self):
         """Return the ids of the services out of reach, as they are published."""
-        return [service_id(name) for name in self.lost_services()][
-            :MAX_PUBLISHED_SERVICES
-        ]
+        lost = self.lost_services()[:MAX_PUBLISHED_SERVICES]
+        return [self.service_id(name) for name in lost]
 
     # Observations.
 
--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -44,6 +44,7 @@
     :param admission: an :class:`AdmissionControl`.
     :param now: function that returns monotonic seconds.
     :param log: an :class:`EventLog`.
+    :ivar relay: the :class:`Relay`, or ``None`` if there are no other processes.
     :ivar broadcast_crash: function that reports the fingerprint of a request to the
         other processes after a crash, or ``None``.
     """
@@ -62,6 +63,7 @@
         self.quarantine = balancing.QuarantinePolicy(
             idempotent_crashes=3, non_idempotent_crashes=3, duration=60.0
         )
+        self.relay = None
         self.broadcast_crash = None
         self._quarantined = {}
         self._crash_checks = utils.TaskSet()
@@ -79,12 +81,14 @@
         :param call: a :class:`Call`.
         :param hedge: whether another attempt of the request is still running.
         """
+        if self._is_relay_due(call):
+            outcome = await self.relay.send(call)
+            if outcome is not None:
+                return outcome
         for _ in range(MAX_SELECTIONS):
             selection = await self._select_server(call, hedge)
             if selection is None:
-                is_lost = self.selector.reach.is_lost(call.service.name)
-                reason = "no server reached" if is_lost else "no room"
-                return _call.AttemptOutcome(Verdict.NOT_RUN, reason=reason)
+                return await self._send_without_server(call)
             server = selection.server
             pool = self.selector.pool(server)
             now = self.now()
@@ -118,6 +122,20 @@
             pool.release(selection.connection)
         return outcome
 
+    def _is_relay_due(self, call):
+        return self.relay is not None and self.relay.is_due(call)
+
+    async def _send_without_server(self, call):
+        """Relay a call for which no server was found, if another process may help."""
+        outcome = None
+        if self.relay is not None and self.relay.may_help(call):
+            outcome = await self.relay.send(call)
+        if outcome is not None:
+            return outcome
+        is_lost = self.selector.reach.is_lost(call.service.name)
+        reason = "no server reached" if is_lost else "no room"
+        return _call.AttemptOutcome(Verdict.NOT_RUN, reason=reason)
+
     async def _select_server(self, call, hedge):
         """Return a selection, after a short wait for free capacity if necessary."""
         selection, unanswered = await self._search(call)
@@ -139,7 +157,7 @@
         """
         queue_deadline = self._queue_deadline(call)
         unanswered_searches = 0
-        while True:
+        while not self._is_relay_due(call):
             if unanswered and unanswered_searches < MAX_UNANSWERED_SEARCHES:
                 unanswered_searches += 1
             elif queue_deadline - self.now() < self.shedding.pause:
@@ -152,6 +170,7 @@
             selection, unanswered = await self._search(call)
             if selection is not None:
                 return selection
+        return None
 
     def _queue_deadline(self, call):
         urgent = call.state.ranks.is_urgent(call.priority, self.now())
@@ -299,7 +318,12 @@
         connection = None if response.complete else selection.connection
         reason = f"server answered {response.status}" if failed else ""
         return _call.AttemptOutcome(
-            Verdict.RAN, response, server, connection, reason=reason
+            Verdict.RAN,
+            response,
+            server,
+            connection,
+            reason=reason,
+            pool=self.selector.pool(server),
         )
 
     async def _check_crash(self, call, server):
--- /dev/null
+++ b/boragegw/gateway/tests/test_relay.py
@@ -0,0 +1,108 @@
+"""Requests of a process that reaches no backend server are relayed to another one."""
+
+import asyncio
+
+import pytest
+
+from boragegw import standins
+
+ALL = ("gw-0", "gw-1", "gw-2")
+
+
+def set_cut(installation, names, is_cut):
+    network = installation.network
+    change = network.cut if is_cut else network.heal
+    for name in names:
+        for identity in installation.backends:
+            change(name, f"host-{identity}")
+
+
+async def start_cut(names, **route):
+    """Return an installation in which ``names`` know that they reach no server."""
+    installation = await standins.WireInstallation().start(
+        gateways=3, backends=6, **route
+    )
+    set_cut(installation, names, True)
+    for _ in range(8):
+        await asyncio.gather(*(installation.call(to=name) for name in names))
+        await asyncio.sleep(0.1)
+    return installation
+
+
+@pytest.mark.parametrize("route_type", ["safe", "unsafe", "download"])
+@standins.in_memory
+async def test_callers_of_a_process_without_servers_are_served(route_type):
+    installation = await start_cut(["gw-1"], route_type=route_type)
+    answers = [await installation.call(to="gw-1", method="POST") for _ in range(20)]
+    assert [answer.status for answer in answers] == [200] * 20
+    assert max(answer.seconds for answer in answers) < 0.1
+
+
+@standins.in_memory
+async def test_relayed_request_that_is_not_idempotent_runs_once():
+    installation = await start_cut(["gw-1"], route_type="unsafe")
+    for number in range(20):
+        await installation.call(f"/once/{number}", "POST", b"body", to="gw-1")
+    for number in range(20):
+        assert len(installation.runs(f"/once/{number}")) == 1
+
+
+@standins.in_memory
+async def test_request_is_refused_as_not_run_if_no_process_reaches_a_server():
+    """Guards against processes that relay a request to each other without end."""
+    installation = await start_cut(ALL, route_type="unsafe")
+    answer = await installation.call("/nowhere", "POST", b"body", to="gw-1")
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    assert answer.seconds < 1.0
+    set_cut(installation, ALL, False)
+    await asyncio.sleep(2.0)
+    assert not installation.runs("/nowhere")
+
+
+@standins.in_memory
+async def test_process_serves_by_itself_again_after_the_cut():
+    installation = await start_cut(["gw-1"])
+    set_cut(installation, ["gw-1"], False)
+    await asyncio.sleep(1.0)
+    counters = installation.processes["gw-1"].board.counters
+    relayed = counters["relays.sent"]
+    answers = [await installation.call(to="gw-1") for _ in range(20)]
+    assert [answer.status for answer in answers] == [200] * 20
+    assert counters["relays.sent"] == relayed
+
+
+@standins.in_memory
+async def test_deadline_of_a_relayed_request_is_not_longer_than_the_callers():
+    installation = await start_cut(["gw-1"])
+    await installation.call("/timed", to="gw-1", x_request_id="t", x_deadline_ms="700")
+    deadlines = [b.deadlines.get("t", 0) for b in installation.backends.values()]
+    assert 0 < max(deadlines) <= 700
+
+
+@standins.in_memory
+async def test_account_is_counted_by_the_relaying_process_only():
+    installation = await start_cut(["gw-1"])
+    account = installation.account("acme", "k1", rate_per_s=100.0, burst=50)
+    installation.publish([installation.route()], accounts=[account])
+    await asyncio.sleep(1.0)
+    key = "Bearer k1"
+    answers = [await installation.call(to="gw-1", authorization=key) for _ in range(10)]
+    assert [answer.status for answer in answers] == [200] * 10
+    counted = [
+        count.admitted
+        for process in installation.processes.values()
+        for name, count in process.board.accounts.largest()
+        if name == "acme"
+    ]
+    assert sum(counted) == 10
+
+
+@standins.in_memory
+async def test_unknown_key_of_a_relayed_request_is_refused():
+    installation = await start_cut(["gw-1"])
+    account = installation.account("acme", "k1")
+    installation.publish([installation.route()], accounts=[account])
+    await asyncio.sleep(1.0)
+    answer = await installation.call(to="gw-1", authorization="Bearer other")
+    assert answer.status == 401
--- a/boragegw/platform/_dialect.py
+++ b/boragegw/platform/_dialect.py
@@ -60,21 +60,18 @@
         dropped = HEADERS_NOT_FORWARDED | _connection_options(request.headers)
         if identity.has_accounts:
             dropped |= {_wire_names.AUTHORIZATION}
-        lines = [request.method + b" " + request.target + b" HTTP/1.1"]
-        lines += [
-            name + b": " + value
-            for name, value in request.headers
-            # Some servers take an underscore in a header name for a hyphen.
-            if name.replace(b"_", b"-") not in dropped
-        ]
+        lines = []
         if identity.account is not None:
             lines.append(_wire_names.ACCOUNT + b": " + identity.account.name.encode())
-        milliseconds = max(1, int(seconds_left * 1000))
-        lines.append(_wire_names.DEADLINE_MS + b": %d" % milliseconds)
         lines.append(_wire_names.EXPECTED_INSTANCE + b": " + server.identity.encode())
-        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
-            lines.append(b"content-length: %d" % len(request.body))
-        return b"\r\n".join(lines) + b"\r\n\r\n"
+        return _request_head(request, dropped, lines, seconds_left)
+
+    def relay_head(self, request, relay_header, seconds_left):
+        """Return the request line and headers of a request to another process."""
+        name, value = relay_header
+        dropped = HEADERS_NOT_FORWARDED | _connection_options(request.headers)
+        dropped = dropped - {_wire_names.AUTHORIZATION} | {name}
+        return _request_head(request, dropped, [name + b": " + value], seconds_left)
 
     def health_request(self, service, server):
         """Return the bytes of a health probe to ``server``."""
@@ -154,6 +151,26 @@
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
 
+def _request_head(request, dropped, more_lines, seconds_left):
+    """Return the head of a request with the headers that are not dropped.
+
+    :param more_lines: lines of further headers, in bytes.
+    """
+    lines = [request.method + b" " + request.target + b" HTTP/1.1"]
+    lines += [
+        name + b": " + value
+        for name, value in request.headers
+        # Some servers take an underscore in a header name for a hyphen.
+        if name.replace(b"_", b"-") not in dropped
+    ]
+    lines += more_lines
+    milliseconds = max(1, int(seconds_left * 1000))
+    lines.append(_wire_names.DEADLINE_MS + b": %d" % milliseconds)
+    if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
+        lines.append(b"content-length: %d" % len(request.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
 def _header_value(headers, name):
     for header_name, value in headers:
         if header_name == name:
--- a/boragegw/platform/_settings.py
+++ b/boragegw/platform/_settings.py
@@ -104,7 +104,7 @@
             self._raise_invalid("internal_ports", ports, "two ports")
         store = self.address("platform.address")
         return PlatformSettings(
-            gateway=self._gateway(front, ports[0]),
+            gateway=self._gateway(front, ports),
             store=store,
             ready=self.address("listen.ready"),
             directory=self.address("listen.directory"),
@@ -119,7 +119,13 @@
             return None
         return self.string("ip"), ports[0] + 1
 
-    def _gateway(self, front, peer_port):
+    def _relay_address(self, ports):
+        """Return the address of the third internal port, if there are as many."""
+        if ports[-1] < ports[0] + 2:
+            return None
+        return self.string("ip"), ports[0] + 2
+
+    def _gateway(self, front, ports):
         seeds = tuple(
             host
             for host, _ in (
@@ -130,7 +136,8 @@
             name=self.string("node"),
             data_centre=self.string("zone"),
             caller_address=front,
-            peer_address=(self.string("ip"), peer_port),
+            peer_address=(self.string("ip"), ports[0]),
+            relay_address=self._relay_address(ports),
             seeds=seeds,
             shutdown_timeout=self.number("bounds.grace_s", 6.0),
             link_mbps=self.number("limits.link_mbps", 1000.0),
--- a/boragegw/standins/_wire_installation.py
+++ b/boragegw/standins/_wire_installation.py
@@ -15,6 +15,7 @@
 CONTROL_PORT = 8544
 METRICS_PORT = 7541
 PEER_PORT = 7540
+RELAY_PORT = 7542
 HOST_NAME = "site.example"
 
 
@@ -147,6 +148,7 @@
                 data_centre=data_centre,
                 caller_address=(name, CALLER_PORT),
                 peer_address=(name, PEER_PORT),
+                relay_address=(name, RELAY_PORT),
                 seeds=tuple(seeds),
                 **fields,
             ),
