Reachability: a lost service is regained by a check, not by one response

What callers saw: a process that still reached one of 15 servers lost and regained the service up to 41 times in 12 s (service-lost 185, service-reached 177 lines over the fleet); in between its requests went to that one server and found no room.

A check of four servers decides now, and half of them must accept.

--- a/boragegw/balancing/_reachability.py
+++ b/boragegw/balancing/_reachability.py
@@ -39,6 +39,9 @@
     :param memory: seconds after which a failure no longer counts.
     :param check_interval: seconds between two checks of the same service.
     :param check_size: number of servers to which a check opens connections.
+    :param regained_share: least share of these that must accept for a lost service to
+        count as reached again. Guards against a process that still reaches one server
+        of many: it would send its requests there and lose the service again.
     """
 
     _parameter_constraints = {
@@ -47,6 +50,7 @@
         "memory": utils.Interval(float, 0.1, 60),
         "check_interval": utils.Interval(float, 0.01, 60),
         "check_size": utils.Interval(int, 1, 64),
+        "regained_share": utils.Interval(float, 0, 1),
     }
 
     def __init__(
@@ -56,18 +60,22 @@
         memory=3.0,
         check_interval=0.3,
         check_size=4,
+        regained_share=0.5,
     ):
         self.lost_after = lost_after
         self.suspect_after = suspect_after
         self.memory = memory
         self.check_interval = check_interval
         self.check_size = check_size
+        self.regained_share = regained_share
 
     def observe_reached(self, reach):
-        """Record that a server accepted a connection or responded."""
+        """Record that a server accepted a connection or responded.
+
+        A lost service is regained by a check only.
+        """
         reach.failed.clear()
         reach.silent.clear()
-        reach.is_lost = False
 
     def observe_failed(self, reach, identity, servers, now):
         """Record that a server accepted no connection.
@@ -103,6 +111,20 @@
         reach.checked_at = now
         return True
 
+    def observe_check(self, reach, accepted, checked):
+        """Record how many of the checked servers accepted a connection.
+
+        :return: whether the service has just been regained.
+        """
+        if not reach.is_lost or not checked:
+            return False
+        if accepted < max(1, self.regained_share * checked):
+            return False
+        reach.is_lost = False
+        reach.failed.clear()
+        reach.silent.clear()
+        return True
+
     def choose_servers(self, servers, random_state):
         """Return the servers that a check connects to, those of any state."""
         return random_state.sample(servers, min(self.check_size, len(servers)))
--- a/boragegw/balancing/tests/test_reachability.py
+++ b/boragegw/balancing/tests/test_reachability.py
@@ -57,11 +57,21 @@
     fail(policy, reach, servers, "abcd")
     due = [policy.is_check_due(reach, 0.1 * step) for step in range(100)]
     assert sum(due) >= 25
-    policy.observe_reached(reach)
+    assert policy.observe_check(reach, 4, 4)
     assert not reach.is_lost
     assert not policy.is_check_due(reach, 20.0)
 
 
+def test_service_with_one_server_in_reach_of_many_stays_lost():
+    policy, reach, servers = make(regained_share=0.5)
+    fail(policy, reach, servers, "abcd")
+    policy.observe_reached(reach)
+    assert not policy.observe_check(reach, 1, 4)
+    assert reach.is_lost
+    assert policy.observe_check(reach, 2, 4)
+    assert not reach.is_lost
+
+
 def test_calm_service_is_not_checked():
     policy, reach, servers = make()
     assert not policy.is_check_due(reach, 0.0)
--- a/boragegw/gateway/_reach_monitor.py
+++ b/boragegw/gateway/_reach_monitor.py
@@ -1,5 +1,7 @@
 """Notices services whose backend servers are out of reach, and publishes them."""
 
+import asyncio
+
 from boragegw import balancing, utils
 from boragegw.gateway import _upstream
 
@@ -73,16 +75,7 @@
 
     def observe_reached(self, server):
         """Record a response of a server."""
-        reach = self._reach(server)
-        was_lost = reach.is_lost
-        self.policy.observe_reached(reach)
-        if was_lost:
-            self.log.event(
-                "service-reached",
-                service=server.listing.service,
-                server=server.identity,
-            )
-            self._publish()
+        self.policy.observe_reached(self._reach(server))
 
     def observe_silence(self, server):
         """Record that a server did not answer on a connection that was open before."""
@@ -150,13 +143,25 @@
     def _start_check(self, service_name):
         self.board.counters["reach.checks"] += 1
         servers = [s for s in self.board.by_service[service_name] if not s.leaving]
-        for server in self.policy.choose_servers(servers, self.random_state):
-            self._checks.start(self._check(server), "reach check")
+        chosen = self.policy.choose_servers(servers, self.random_state)
+        self._checks.start(self._check(service_name, chosen), "reach check")
+
+    async def _check(self, service_name, servers):
+        """Open connections, whose failures the connection pools report as well."""
+        accepted = sum(await asyncio.gather(*map(self._accepts, servers)))
+        reach = self._service_reach(service_name)
+        if self.policy.observe_check(reach, accepted, len(servers)):
+            self.log.event(
+                "service-reached",
+                service=service_name,
+                accepted=accepted,
+                checked=len(servers),
+            )
+            self._publish()
 
-    async def _check(self, server):
-        """Open a connection, whose outcome the connection pool reports."""
+    async def _accepts(self, server):
         try:
             await self.connect(server)
         except _upstream.ExchangeError:
-            # The pool has reported the failure as an observation.
-            return
+            return False
+        return True
