Directory: a process that reaches no backend server is not named to callers

Callers were still sent to processes that were cut from all servers; with the relay they are served there, one hop later. The directory now leaves those out that have lost all services with servers, unless fewer than 0.3 of the processes would be left: then all are named, so that a common cause (servers of all services down or slow) does not send every caller to a few.

--- a/boragegw/gateway/_directory.py
+++ b/boragegw/gateway/_directory.py
@@ -12,25 +12,34 @@
     :param max_remote: maximum number of processes of other data centres otherwise. They
         serve the caller if its data centre loses power.
     :param max_addresses: maximum number of addresses in a response.
+    :param min_reaching_share: least share of the processes that must reach backend
+        servers for the others to be left out. Guards against a fleet of which a few
+        processes get all callers because the servers of all services are down or slow.
     """
 
     _parameter_constraints = {
         "min_local": utils.Interval(int, 0, 1000),
         "max_remote": utils.Interval(int, 0, 1000),
         "max_addresses": utils.Interval(int, 1, 64),
+        "min_reaching_share": utils.Interval(float, 0, 1),
     }
 
-    def __init__(self, min_local=2, max_remote=2, max_addresses=64):
+    def __init__(
+        self, min_local=2, max_remote=2, max_addresses=64, min_reaching_share=0.3
+    ):
         self.min_local = min_local
         self.max_remote = max_remote
         self.max_addresses = max_addresses
+        self.min_reaching_share = min_reaching_share
 
-    def choose(self, members, data_centre, random_state):
+    def choose(self, members, data_centre, random_state, cut_off=frozenset()):
         """Return the members whose addresses a caller in ``data_centre`` gets.
 
         :param members: :class:`Member` of all processes that accept requests.
+        :param cut_off: names of those that reach no backend server of any service.
         """
         self._check_params()
+        members = self._preferred(members, cut_off)
         local = [m for m in members if m.data_centre == data_centre]
         remote = [m for m in members if m.data_centre != data_centre]
         random_state.shuffle(local)
@@ -38,3 +47,10 @@
         if len(local) < self.min_local:
             return (local + remote)[: self.max_addresses]
         return (local + remote[: self.max_remote])[: self.max_addresses]
+
+    def _preferred(self, members, cut_off):
+        """Return the members that reach servers, or all if these are too few."""
+        reaching = [m for m in members if m.name not in cut_off]
+        if len(reaching) < self.min_reaching_share * len(members):
+            return members
+        return reaching
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -381,7 +381,8 @@
     def entries_for(self, data_centre):
         """Return the addresses that callers in ``data_centre`` should use."""
         members = self.membership.ready()
-        chosen = self.directory.choose(members, data_centre, self.random_state)
+        cut_off = {m.name for m in members if self.reach.is_cut_off(m)}
+        chosen = self.directory.choose(members, data_centre, self.random_state, cut_off)
         return [member.caller_address for member in chosen]
 
     async def stop(self):
--- a/boragegw/gateway/_reach_monitor.py
+++ b/boragegw/gateway/_reach_monitor.py
@@ -49,11 +49,15 @@
         """Return the names of the services that are out of reach, sorted."""
         return sorted(name for name, reach in self._services.items() if reach.is_lost)
 
-    @property
-    def is_cut_off(self):
-        """Whether no service with servers can be reached."""
-        served = [name for name, servers in self.board.by_service.items() if servers]
-        return bool(served) and all(map(self.is_lost, served))
+    def is_cut_off(self, member):
+        """Return whether a process has lost all services that have servers.
+
+        :param member: its :class:`Member`.
+        """
+        if not member.unreached:
+            return False
+        served = (name for name, servers in self.board.by_service.items() if servers)
+        return {self.service_id(name) for name in served} <= set(member.unreached)
 
     def published_ids(self):
         """Return the ids of the services out of reach, as they are published."""
--- a/boragegw/gateway/tests/test_reach_monitor.py
+++ b/boragegw/gateway/tests/test_reach_monitor.py
@@ -33,7 +33,6 @@
     cut_from_servers(installation, "gw-1")
     await keep_calling(installation, "gw-1", 1.0)
     assert installation.processes["gw-1"].reach.lost_services() == ["app"]
-    assert installation.processes["gw-1"].reach.is_cut_off
     assert published(installation, "gw-0", "gw-1")
     assert not published(installation, "gw-1", "gw-0")
 
@@ -54,3 +53,30 @@
     installation = await standins.WireInstallation().start(gateways=2, backends=6)
     await keep_calling(installation, "gw-0", 3.0)
     assert not installation.processes["gw-0"].board.counters["reach.checks"]
+
+
+def named_addresses(installation, about):
+    process = installation.processes[about]
+    return {a.partition(":")[0] for a in process.entries_for("dc-a")}
+
+
+@standins.in_memory
+async def test_directory_does_not_name_a_process_that_reaches_no_server():
+    installation = await standins.WireInstallation().start(gateways=3, backends=6)
+    cut_from_servers(installation, "gw-1")
+    await keep_calling(installation, "gw-1", 1.0)
+    for name in installation.processes:
+        assert named_addresses(installation, name) == {"gw-0", "gw-2"}
+    heal(installation, "gw-1")
+    await asyncio.sleep(0.7)
+    assert named_addresses(installation, "gw-0") == {"gw-0", "gw-1", "gw-2"}
+
+
+@standins.in_memory
+async def test_directory_names_all_processes_if_nearly_all_reach_no_server():
+    """Guards against callers that all connect to the few processes that are left."""
+    installation = await standins.WireInstallation().start(gateways=4, backends=6)
+    for name in ("gw-1", "gw-2", "gw-3"):
+        cut_from_servers(installation, name)
+        await keep_calling(installation, name, 1.0)
+    assert len(named_addresses(installation, "gw-0")) == 4
