Known red: a process that isn't current answers 401 and 404

Callers of a process that is cut off, whose watch is silent or that has missed a change get 404 for a route, or 401 for an API key, that is in force elsewhere, later than the 2 s of config_apply_s.

The store's stand-in can forget changes without a word (forget_silently).

--- /dev/null
+++ b/boragegw/platform/tests/test_final_refusals.py
@@ -0,0 +1,178 @@
+"""Final refusals (401, 404) by processes that cannot know whether they are current."""
+
+import asyncio
+
+import pytest
+
+from boragegw import standins
+
+in_memory = standins.in_memory
+
+#: Seconds after a publication after which every process must have it in force.
+APPLY_SECONDS = 2.0
+#: Seconds after the publication at which a request is sent: just after the bound, after
+#: the silent peers are forgotten, and long after.
+MOMENTS = (2.1, 4.0, 8.0, 16.0)
+SETTLING_SECONDS = 5.0
+
+
+async def start_settled_installation(**fields):
+    installation = await standins.WireInstallation().start(**fields)
+    await asyncio.sleep(SETTLING_SECONDS)
+    return installation
+
+
+def isolate(installation, names, and_store=True):
+    """Cut the processes ``names`` from all others, and from the store."""
+    others = set(installation.processes) - set(names)
+    for name in names:
+        for other in others:
+            installation.network.cut(name, other)
+        if and_store:
+            installation.network.cut(name, standins.STORE_ADDRESS[0])
+
+
+def blackhole_store(installation, name):
+    """Drop the traffic of the open connections of ``name`` to the store."""
+    for one, other in installation.network.connections:
+        if one.local[0] == name and one.remote == standins.STORE_ADDRESS:
+            one.blackholed = other.blackholed = True
+
+
+def publish_new_route(installation, **fields):
+    route = installation.route
+    installation.publish([route("/old/"), route("/new/")], **fields)
+
+
+async def statuses_of_new_route(installation, names, **fields):
+    """Return the statuses of ``names`` for the new route at each moment."""
+    found = []
+    started = installation.loop.time()
+    for moment in MOMENTS:
+        await asyncio.sleep(max(0.0, started + moment - installation.loop.time()))
+        calls = [installation.call("/new/1", to=name, **fields) for name in names]
+        found += [response.status for response in await asyncio.gather(*calls)]
+    return found
+
+
+@in_memory
+async def test_process_cut_from_store_and_peers_denies_no_new_route():
+    installation = await start_settled_installation(gateways=3, prefix="/old/")
+    isolate(installation, ["gw-1"])
+    publish_new_route(installation)
+    assert 404 not in await statuses_of_new_route(installation, ["gw-1"])
+
+
+@in_memory
+async def test_process_turned_away_by_the_store_denies_no_new_route():
+    installation = await start_settled_installation(prefix="/old/")
+    installation.store.status = 503
+    publish_new_route(installation)
+    blackhole_store(installation, "gw-0")
+    assert 404 not in await statuses_of_new_route(installation, ["gw-0"])
+
+
+@in_memory
+@pytest.mark.parametrize("gateways", [1, 3])
+async def test_process_with_a_silent_watch_denies_no_new_route(gateways):
+    """No process hears of the change, since all watches of the store are silent."""
+    installation = await start_settled_installation(gateways=gateways, prefix="/old/")
+    await asyncio.sleep(SETTLING_SECONDS)
+    for name in installation.processes:
+        blackhole_store(installation, name)
+    publish_new_route(installation)
+    names = list(installation.processes)
+    assert 404 not in await statuses_of_new_route(installation, names)
+
+
+@in_memory
+async def test_data_centre_without_any_source_denies_no_new_route():
+    installation = await start_settled_installation(
+        gateways=6, data_centres=("dc-a", "dc-b"), prefix="/old/"
+    )
+    names = ["gw-1", "gw-3", "gw-5"]
+    isolate(installation, names)
+    publish_new_route(installation)
+    assert 404 not in await statuses_of_new_route(installation, names)
+
+
+@in_memory
+async def test_process_that_starts_from_an_outdated_peer_denies_no_new_route():
+    installation = await start_settled_installation(gateways=4, prefix="/old/")
+    names = ["gw-1", "gw-2"]
+    isolate(installation, names)
+    publish_new_route(installation)
+    installation.kill_gateway("gw-2")
+    await installation.add_gateway("gw-2", seeds=("gw-1",))
+    assert 404 not in await statuses_of_new_route(installation, names)
+
+
+@in_memory
+async def test_change_that_no_watch_reports_is_not_denied():
+    """Positions pass the change, since the watches end without it."""
+    installation = await start_settled_installation(gateways=3, prefix="/old/")
+    publish_new_route(installation)
+    installation.store.forget_silently()
+    names = list(installation.processes)
+    assert 404 not in await statuses_of_new_route(installation, names)
+    assert [(await installation.call("/new/1", to=n)).status for n in names] == [
+        200,
+        200,
+        200,
+    ]
+
+
+@in_memory
+async def test_unreadable_configuration_denies_no_route():
+    installation = await start_settled_installation(gateways=2, prefix="/old/")
+    installation.store.put("op/config", {"version": "r9", "routes": 1})
+    names = list(installation.processes)
+    assert 404 not in await statuses_of_new_route(installation, names)
+
+
+@in_memory
+async def test_process_cut_from_store_and_peers_denies_no_new_api_key():
+    installation = await start_settled_installation(gateways=3)
+    route = installation.route
+    installation.publish([route()], accounts=[installation.account("a", "key-a")])
+    await asyncio.sleep(SETTLING_SECONDS)
+    isolate(installation, ["gw-1"])
+    accounts = [installation.account("a", "key-a", "key-b")]
+    installation.publish([route()], accounts=accounts)
+    statuses = await statuses_of_new_route(
+        installation, ["gw-1"], authorization="Bearer key-b"
+    )
+    assert 401 not in statuses
+
+
+@in_memory
+async def test_unknown_route_of_a_cut_process_is_refused_at_once():
+    installation = await start_settled_installation(gateways=3, prefix="/old/")
+    isolate(installation, ["gw-1"])
+    await asyncio.sleep(SETTLING_SECONDS)
+    await installation.call("/none/", to="gw-1")
+    refused = await installation.call("/none/", to="gw-1")
+    assert refused.status == 503
+    assert float(refused.headers["retry-after"]) > 0
+    assert refused.seconds < 0.05
+
+
+@in_memory
+async def test_unknown_route_gets_404_at_once_while_all_is_well():
+    installation = await start_settled_installation(gateways=4, prefix="/old/")
+    for name in installation.processes:
+        refused = await installation.call("/none/", to=name)
+        assert refused.status == 404
+        assert refused.seconds < 0.05
+
+
+@in_memory
+async def test_requests_for_unknown_routes_cause_few_calls_to_the_store():
+    """One call a second for each data centre at most, however many requests come."""
+    installation = await start_settled_installation(gateways=8, prefix="/old/")
+    calls = installation.store.calls
+    for _ in range(20):
+        for name in installation.processes:
+            assert (await installation.call("/none/", to=name)).status == 404
+        await asyncio.sleep(0.1)
+    assert installation.store.calls - calls <= 4
--- a/boragegw/standins/_wire_store.py
+++ b/boragegw/standins/_wire_store.py
@@ -60,6 +60,10 @@
         self._events.clear()
         self.compacted_revision = self.revision
 
+    def forget_silently(self):
+        """Discard the history; watches that miss a change are not told so."""
+        self._events.clear()
+
     def _append_event(self, event):
         self._events.append(event)
         self._changed.set()
