Log: a refusal for an unknown route or key says on whose word it rests

request-rejected with no_route, behind or unauthorized had nothing by which a process that hears nobody, one whose position has passed a change and one with an outdated source could be told apart. The line now has the position, the latest revision stated by the peers in sight and their number, the source that answered last and the age of that answer; the gauge answer_age has the latter.

No decision is changed.

--- a/boragegw/gateway/__init__.py
+++ b/boragegw/gateway/__init__.py
@@ -20,6 +20,7 @@
 )
 from boragegw.gateway._caller_connection import BodyMemory, CallerConnection, Request
 from boragegw.gateway._catalogue import Catalogue
+from boragegw.gateway._currency import Currency, rounded_age
 from boragegw.gateway._dialect import Dialect, HealthResponse
 from boragegw.gateway._directory import DirectoryPolicy
 from boragegw.gateway._endpoint import Endpoint, EndpointResponse, path_of, query_of
@@ -70,6 +71,8 @@
     "Forwarder",
     "Catalogue",
     "UpstreamConnection",
+    "Currency",
+    "rounded_age",
     "Decoder",
     "Dialect",
     "DirectoryPolicy",
--- a/boragegw/gateway/_admission_gate.py
+++ b/boragegw/gateway/_admission_gate.py
@@ -7,6 +7,10 @@
 
 Rejection = _admission.Rejection
 
+#: Rejections for a route or an API key that this process does not know.
+UNKNOWN_TO_US = frozenset(
+    (Rejection.BEHIND, Rejection.NO_ROUTE, Rejection.UNAUTHORIZED)
+)
 #: Retry-After in seconds while no configuration is known yet.
 RETRY_UNCONFIGURED = 0.3
 #: Seconds for which a request whose route or API key may be part of a configuration
@@ -27,14 +31,16 @@
     :param board: the :class:`Blackboard`.
     :param dialect: a :class:`Dialect`.
     :param admission: an :class:`AdmissionControl`.
+    :param currency: a :class:`Currency`.
     :param now: function that returns monotonic seconds.
     :param log: an :class:`EventLog`.
     """
 
-    def __init__(self, board, dialect, admission, *, now, log):
+    def __init__(self, board, dialect, admission, currency, *, now, log):
         self.board = board
         self.dialect = dialect
         self.admission = admission
+        self.currency = currency
         self.now = now
         self.log = log
         self._wait_until = now() + INITIAL_CONFIGURATION_WAIT
@@ -120,6 +126,7 @@
         :param error: a :class:`RejectedError`.
         """
         rejection = error.rejection
+        evidence = self.currency.fields() if rejection in UNKNOWN_TO_US else {}
         self.board.counters[f"requests.{rejection.counter}"] += 1
         self.log.event(
             "request-rejected",
@@ -129,5 +136,6 @@
             detail=error.detail,
             retry_after=error.retry_after,
             **error.fields,
+            **evidence,
             after=round(self.now() - request.arrived, 4),
         )
--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -52,6 +52,8 @@
     :param store: the platform's store, a :class:`Source`.
     :param peer_source: function from a peer's address to a :class:`Source`.
     :param bootstrap: the whole system starts for the first time, without callers.
+    :ivar answered_at: monotonic seconds of the last complete response of a source.
+    :ivar answered_by: that source.
     """
 
     def __init__(
@@ -74,6 +76,8 @@
         self.random_state = random_state
         self.log = log
         self.bootstrap = bootstrap
+        self.answered_at = -math.inf
+        self.answered_by = None
         self._selector = _source_selector.SourceSelector(
             catalogue, membership, now=now, random_state=random_state
         )
@@ -217,6 +221,8 @@
         self._publish_lag(self.now())
 
     def _handle_success(self, name):
+        self.answered_at = self.now()
+        self.answered_by = name
         self._selector.failing = False
         self._timeout.reset_backoff()
         if name is not None:
--- a/boragegw/gateway/_forwarder.py
+++ b/boragegw/gateway/_forwarder.py
@@ -47,6 +47,7 @@
         :class:`~boragegw.balancing.ProbeBudget`; each service has its own.
     :param policies: a :class:`~boragegw.balancing.PolicySettings`.
     :param admission: an :class:`AdmissionControl`.
+    :param currency: a :class:`Currency`.
     :param now: function that returns monotonic seconds.
     :param log: an :class:`EventLog`.
     """
@@ -60,6 +61,7 @@
         make_probe_budget,
         policies,
         admission,
+        currency,
         *,
         now,
         random_state,
@@ -77,7 +79,7 @@
         self.shedding = policies.make("shedding")
         self.admission = admission
         self.gate = _admission_gate.AdmissionGate(
-            board, dialect, admission, now=now, log=log
+            board, dialect, admission, currency, now=now, log=log
         )
         self.sender = _sender.Sender(
             board, dialect, selector, self.shedding, admission, now=now, log=log
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -11,6 +11,7 @@
     _allotment_exchange,
     _caller_connection,
     _catalogue,
+    _currency,
     _directory,
     _endpoint,
     _follower,
@@ -149,16 +150,6 @@
             now=self.now,
             random_state=self.random_state,
         )
-        self.forwarder = _forwarder.Forwarder(
-            self.board,
-            self.dialect,
-            self.selector,
-            self._make_retry_budget,
-            lambda: balancing.ProbeBudget(settings.probe_rate),
-            policies,
-            _admission.AdmissionControl(self.board, self.dialect, self.allotments),
-            **randomized,
-        )
         self.catalogue = _catalogue.Catalogue(
             self.board,
             decoder,
@@ -174,6 +165,20 @@
             bootstrap=settings.bootstrap,
             **randomized,
         )
+        self.currency = _currency.Currency(
+            self.catalogue, self.membership, self.follower, now=self.now
+        )
+        self.forwarder = _forwarder.Forwarder(
+            self.board,
+            self.dialect,
+            self.selector,
+            self._make_retry_budget,
+            lambda: balancing.ProbeBudget(settings.probe_rate),
+            policies,
+            _admission.AdmissionControl(self.board, self.dialect, self.allotments),
+            self.currency,
+            **randomized,
+        )
         self.reconciler = _reconciliation.Reconciler(
             self.catalogue, self.membership, self._peer_source, **randomized
         )
@@ -322,6 +327,7 @@
 
     def _check_fleet(self):
         self.follower.check()
+        self.currency.check()
         self.membership.send_news()
         self.allotments.send_messages()
 
--- a/boragegw/gateway/_metrics.py
+++ b/boragegw/gateway/_metrics.py
@@ -53,6 +53,7 @@
     "configuration_version": "version of the configuration in force",
     "store_position": "revision of the platform's store up to which all is known",
     "store_lag": "revisions by which others in sight know more than this process",
+    "answer_age": "seconds since the last answer of a source, -1 before the first",
     "connections": "callers' connections that are open",
 }
 HISTOGRAMS = {
