Confirmations: they hold for config_apply_s, and one process asks the store

Each data centre's root asked the store once a second while unknown routes were asked for.

A confirmation may hold for the whole of config_apply_s: it counts from the moment at which it was asked for, so all that was published so long before is known. And of the processes that watch the store the first by rendezvous hashing asks it for the others; who gets no answer from it asks the store itself.

--- a/boragegw/gateway/_confirmer.py
+++ b/boragegw/gateway/_confirmer.py
@@ -5,8 +5,12 @@
 
 from boragegw.gateway import _sources
 
-#: Share of the time for which a confirmation holds that one source may take to answer.
-ATTEMPT_SHARE = 0.5
+#: Shares of the time for which a confirmation holds: that one source may take to
+#: answer; for which no source is asked after a failure; that a configuration which is
+#: known to exist may take to arrive before the source is left.
+ATTEMPT_SHARE = 0.25
+PAUSE_SHARE = 0.5
+ARRIVAL_SHARE = 0.5
 #: Seconds for which requests wait for a source that has been asked.
 PATIENCE_SECONDS = 0.3
 
@@ -14,9 +18,9 @@
 class Confirmer:
     """Asks for confirmations, one at a time for all requests that wait for it.
 
-    A process asks what it follows, and that process its own source. Only the processes
-    that watch the store ask the store, so calls grow neither with the requests nor with
-    the processes of a data centre. If the source fails, one other source is asked.
+    A process asks what it follows, and that process its own source. Of the processes
+    that watch the store, one asks the store, so calls grow neither with the requests
+    nor with the fleet. If a source fails, one other is asked.
 
     :param currency: a :class:`Currency`.
     :param selector: a :class:`SourceSelector` of its own, so that sources that fail to
@@ -76,7 +80,7 @@
 
     async def confirmation(self):
         """Return a :class:`Confirmation` for another process, or ``None``."""
-        if not await self.confirm(self.currency.limit):
+        if not await self.confirm(self.currency.apply_limit):
             return None
         return _sources.Confirmation(
             self.currency.confirmed_revision, self.currency.age
@@ -100,19 +104,31 @@
     async def _ask(self):
         self._failing = not await self._ask_sources()
         if self._failing:
-            self._retry_at = self.now() + self.currency.limit
+            self._retry_at = self.now() + PAUSE_SHARE * self.currency.apply_limit
 
     async def _ask_sources(self):
-        first = None if self.selector.should_watch() else self.selector.best_peer()
+        first, find_second = self._choose_sources()
         if await self._ask_source(first):
             return True
-        second = self.selector.other_root(first)
+        second = find_second()
         return second != first and await self._ask_source(second)
 
+    def _choose_sources(self):
+        """Return the source to ask first, and a function that finds the second one.
+
+        Of the processes that watch the store, one asks it for the others.
+        """
+        first = self.selector.best_peer()
+        if self.selector.should_watch():
+            first = self.selector.first_root()
+            if first is not None:
+                return first, lambda: None
+        return first, lambda: self.selector.other_root(first)
+
     async def _ask_source(self, name):
         """Ask the process ``name``, or the store if ``None``."""
         self.counters["confirmations.asked"] += 1
-        timeout = ATTEMPT_SHARE * self.currency.limit
+        timeout = ATTEMPT_SHARE * self.currency.apply_limit
         try:
             source = self.store if name is None else self.peer_clients.find(name)
             confirmation = await source.confirm(timeout)
@@ -139,7 +155,8 @@
             self._restarts = 0
             return
         self._missing_since = min(self._missing_since, self.now())
-        if self.now() < self._missing_since + self.currency.limit * 2**self._restarts:
+        arrival = ARRIVAL_SHARE * self.currency.apply_limit
+        if self.now() < self._missing_since + arrival * 2**self._restarts:
             return
         reads_all = self._restarts > 0
         if self.follower.restart("a later configuration exists", reads_all):
--- a/boragegw/gateway/_currency.py
+++ b/boragegw/gateway/_currency.py
@@ -2,14 +2,13 @@
 
 import math
 
-#: Share of the time that a configuration may take to be in force within which a
-#: confirmation holds. A later one would excuse every refusal, but callers lose by each.
-CONFIRMATION_SHARE = 0.5
-
 
 class Currency:
     """Decides whether this process may refuse a request for good.
 
+    A confirmation holds for as long as a configuration may take to be in force: all
+    that were published before have to be, later ones need not.
+
     Other processes that are known to be ahead show that this one is behind. That none
     is shows nothing, since a process that hears nobody knows of none. Only a source
     that was asked lately shows that the configuration in force is the latest.
@@ -34,11 +33,6 @@
         self._confirmed_revision = 0
         self._confirmed_at = -math.inf
 
-    @property
-    def limit(self):
-        """Seconds for which a confirmation holds."""
-        return CONFIRMATION_SHARE * self.apply_limit
-
     @property
     def answer_age(self):
         """Seconds since a source last answered; infinite before the first answer."""
@@ -56,7 +50,7 @@
 
     def is_fresh(self):
         """Return whether the last confirmation still holds."""
-        return self.age <= self.limit
+        return self.age <= self.apply_limit
 
     def is_outdated(self):
         """Return whether a configuration is known to exist that is not in force."""
--- a/boragegw/gateway/_source_selector.py
+++ b/boragegw/gateway/_source_selector.py
@@ -7,6 +7,8 @@
 
 #: Processes in each data centre that watch the store.
 WATCHERS_PER_DATA_CENTRE = 1
+#: Key by which all processes choose the same one among those that watch the store.
+FIRST_ROOT_KEY = "store"
 #: Seconds for which a process is not followed after it failed or was too slow.
 AVOID_SECONDS = 2.0
 
@@ -119,6 +121,17 @@
             source = self.random_state.choice(remote) if remote else None
         return None if source is None else source.name
 
+    def first_root(self):
+        """Return the first of all processes that watch the store.
+
+        All processes that see the same others choose the same one. ``None`` stands for
+        this process.
+        """
+        own = self.membership.local_member
+        names = [m.name for m in self._candidates() if _replication_tree.is_root(m)]
+        first = utils.rendezvous_rank(FIRST_ROOT_KEY, [*names, own.name])[0]
+        return None if first == own.name else first
+
     def other_root(self, name):
         """Return another process that watches the store, ``None`` if there is none."""
         roots = [m for m in self._candidates() if _replication_tree.is_root(m)]
