Confirmations: a deleted configuration is not taken for one that has not arrived

With op/config deleted, its record is gone while the configuration stays in force. What is in force counts as arrived too.

More tests of confirmations: history lost between two, slow links, a root without the store or without peers, a failing store.

--- a/boragegw/gateway/_currency.py
+++ b/boragegw/gateway/_currency.py
@@ -64,7 +64,9 @@
 
     def is_missing(self):
         """Return whether a configuration exists that has not arrived here."""
-        return self.catalogue.configuration_revision < self._confirmed_revision
+        catalogue = self.catalogue
+        known = max(catalogue.configuration_revision, catalogue.revision_in_force)
+        return known < self._confirmed_revision
 
     def is_current(self):
         """Return whether the latest configuration is certainly in force."""
--- a/boragegw/platform/tests/test_final_refusals.py
+++ b/boragegw/platform/tests/test_final_refusals.py
@@ -178,3 +178,79 @@
             assert (await installation.call("/none/", to=name)).status == 404
         await asyncio.sleep(0.1)
     assert installation.store.calls - calls <= 4
+
+
+@in_memory
+async def test_lost_history_of_the_store_delays_no_404():
+    installation = await start_settled_installation(gateways=3, prefix="/old/")
+    for _ in range(4):
+        assert (await installation.call("/none/", to="gw-1")).status == 404
+        installation.store.put("servers/i-x", b"")
+        installation.store.compact()
+        await asyncio.sleep(APPLY_SECONDS + 0.1)
+
+
+@in_memory
+async def test_slow_links_delay_a_404_by_a_second():
+    """A tenth of a second for each round trip, and three processes in a row."""
+    installation = await start_settled_installation(gateways=3, prefix="/old/")
+    for name in installation.processes:
+        installation.network.set_link(name, 1000.0)
+    installation.network.delay = 0.05
+    for name in installation.processes:
+        await installation.call("/none/", to=name)
+        await asyncio.sleep(1.0)
+        assert (await installation.call("/none/", to=name)).status == 404
+
+
+@in_memory
+@pytest.mark.parametrize("cut", ["store", "peers"])
+async def test_one_lost_source_causes_no_lasting_503(cut):
+    """Another process, or the store itself, confirms instead of it."""
+    installation = await start_settled_installation(
+        gateways=6, data_centres=("dc-a", "dc-b"), prefix="/old/"
+    )
+    processes = installation.processes
+    roots = [n for n, p in processes.items() if p.local_member.watches_store]
+    for root in roots[:1]:
+        others = [n for n in processes if n != root]
+        for other in others if cut == "peers" else [standins.STORE_ADDRESS[0]]:
+            installation.network.cut(root, other)
+    await asyncio.sleep(SETTLING_SECONDS)
+    for name in processes:
+        await installation.call("/none/", to=name)
+    await asyncio.sleep(APPLY_SECONDS)
+    statuses = [(await installation.call("/none/", to=n)).status for n in processes]
+    assert statuses == [404] * len(processes)
+
+
+@in_memory
+async def test_failing_store_is_asked_seldom_for_unknown_routes():
+    """No process asks more than once a second, whatever the number of requests."""
+    installation = await start_settled_installation(gateways=8, prefix="/old/")
+    installation.store.status = 503
+    await asyncio.sleep(SETTLING_SECONDS)
+    asked = [
+        p.board.counters["confirmations.asked"] for p in installation.processes.values()
+    ]
+    for _ in range(50):
+        for name in installation.processes:
+            assert (await installation.call("/none/", to=name)).status == 503
+        await asyncio.sleep(0.1)
+    for process, before in zip(installation.processes.values(), asked, strict=True):
+        assert process.board.counters["confirmations.asked"] - before <= 14
+
+
+@in_memory
+async def test_deleted_configuration_causes_no_reads():
+    """The configuration in force stays; nothing later can arrive."""
+    installation = await start_settled_installation(gateways=2, prefix="/old/")
+    await installation.call("/none/")
+    installation.store.delete("op/config")
+    await asyncio.sleep(APPLY_SECONDS)
+    calls = installation.store.calls
+    for _ in range(5):
+        await installation.call("/none/")
+        assert (await installation.call("/old/1")).status == 200
+        await asyncio.sleep(1.0)
+    assert installation.store.calls - calls <= 10
