--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -11,11 +11,14 @@
     _allotment_exchange,
     _caller_connection,
     _catalogue,
+    _confirmer,
+    _currency,
     _directory,
     _endpoint,
     _follower,
     _forwarder,
     _membership,
+    _peer_clients,
     _peer_messages,
     _reach_monitor,
     _reconciliation,
@@ -23,6 +26,7 @@
     _relay_listener,
     _replication,
     _server_selector,
+    _source_selector,
 )
 
 #: Seconds between checks of the sources of published records and for news of the fleet,
@@ -49,6 +53,7 @@
     :param relay_address: ``(host, port)`` for requests that other processes relay, or
         ``None`` to take none.
     :param seeds: hosts on which other processes may run.
+    :param apply_limit: seconds within which a configuration has to be in force.
     :param shutdown_timeout: seconds from SIGTERM until the process is killed.
     :param link_mbps: bandwidth of the machine's link in megabits per second.
     :param bootstrap: whether the whole system starts for the first time, without
@@ -71,6 +76,7 @@
     peer_address: tuple
     seeds: tuple
     relay_address: tuple | None = None
+    apply_limit: float = 2.0
     shutdown_timeout: float = 6.0
     link_mbps: float = 1000.0
     bootstrap: bool = False
@@ -163,16 +169,6 @@
             now=self.now,
             random_state=self.random_state,
         )
-        self.forwarder = _forwarder.Forwarder(
-            self.board,
-            self.dialect,
-            self.selector,
-            self._make_retry_budget,
-            lambda: balancing.ProbeBudget(settings.probe_rate),
-            policies,
-            _admission.AdmissionControl(self.board, self.dialect, self.allotments),
-            **randomized,
-        )
         self.catalogue = _catalogue.Catalogue(
             self.board,
             decoder,
@@ -188,11 +184,35 @@
             bootstrap=settings.bootstrap,
             **randomized,
         )
+        self.currency = _currency.Currency(
+            self.board,
+            self.catalogue,
+            self.membership,
+            self.follower,
+            settings.apply_limit,
+            now=self.now,
+        )
+        self.confirmer = self._make_confirmer(store)
+        self.forwarder = _forwarder.Forwarder(
+            self.board,
+            self.dialect,
+            self.selector,
+            self._make_retry_budget,
+            lambda: balancing.ProbeBudget(settings.probe_rate),
+            policies,
+            _admission.AdmissionControl(self.board, self.dialect, self.allotments),
+            self.currency,
+            self.confirmer,
+            **randomized,
+        )
         self.reconciler = _reconciliation.Reconciler(
             self.catalogue, self.membership, self._peer_source, **randomized
         )
         self.replicas = _replication.ReplicaServer(
-            self.catalogue, now=self.now, incarnation=self.local_member.incarnation
+            self.catalogue,
+            now=self.now,
+            incarnation=self.local_member.incarnation,
+            confirm=self.confirmer.confirmation,
         )
         self.forwarder.sender.relay = _relay.Relay(
             self.board,
@@ -209,6 +229,23 @@
         self.membership.on_crash = self.forwarder.sender.observe_crash
         self.forwarder.sender.broadcast_crash = self.membership.broadcast_crash
 
+    def _make_confirmer(self, store):
+        return _confirmer.Confirmer(
+            self.currency,
+            _source_selector.SourceSelector(
+                self.catalogue,
+                self.membership,
+                now=self.now,
+                random_state=self.random_state,
+            ),
+            store,
+            _peer_clients.PeerClients(self.membership, self._peer_source),
+            self.follower,
+            now=self.now,
+            counters=self.board.counters,
+            log=self.log,
+        )
+
     def _make_retry_budget(self):
         settings = self.settings
         return balancing.RetryBudget(
@@ -358,6 +395,8 @@
 
     def _check_fleet(self):
         self.follower.check()
+        self.currency.check()
+        self.confirmer.check()
         self.membership.send_news()
         self.allotments.send_messages()
         self.reach.check()
--- a/boragegw/platform/_settings.py
+++ b/boragegw/platform/_settings.py
@@ -139,6 +139,7 @@
             peer_address=(self.string("ip"), ports[0]),
             relay_address=self._relay_address(ports),
             seeds=seeds,
+            apply_limit=self.number("bounds.config_apply_s", 2.0) or 2.0,
             shutdown_timeout=self.number("bounds.grace_s", 6.0),
             link_mbps=self.number("limits.link_mbps", 1000.0),
             bootstrap=self._look_up("bootstrap") is True,
