Callers: a size is refused for good only by limits that are in force

A process that has just started knows no configuration. It judged heads and bodies by its own defaults (16,384 and 64 MiB) and answered 431 and 413, which callers do not retry, to requests within the operator's limits. A process that knows that it is behind did the same by the limits of the older configuration.

Cause: a final refusal without proof that the request is improper under every configuration that may be in force. Such a refusal is now 503 with Retry-After unless the process has a configuration and is not behind.

The checks of a head are a module of their own; framing is checked first, as strictly as before, so that a malformed request over the limit gets 400 where it got 413.

--- a/boragegw/gateway/_caller_connection.py
+++ b/boragegw/gateway/_caller_connection.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-from boragegw.gateway import _socket_options
+from boragegw.gateway import _head_checks, _socket_options
 
 #: Requests of one connection that are read ahead while an earlier one is served.
 PIPELINE_LIMIT = 8
@@ -17,6 +17,8 @@
 #: Seconds without data until which the rest of a refused request is read and discarded.
 #: Closing earlier would reset the connection before the caller has read the refusal.
 LINGER_TIMEOUT = 0.5
+#: Retry-After in seconds for a request over limits that may be outdated.
+RETRY_UNCERTAIN_LIMITS = 0.3
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -90,8 +92,8 @@
 class CallerConnection(asyncio.Protocol):
     """One connection of a caller.
 
-    :param gateway: has ``now``, ``limits``, ``stopping``, ``body_memory``,
-        ``check_head(request)``, ``error_response(status, request)``,
+    :param gateway: has ``now``, ``limits``, ``limits_final``, ``stopping``,
+        ``body_memory``, ``check_head(request)``, ``error_response(status, request)``,
         ``log_error(error)`` and the coroutine ``serve(request, writer)``.
     """
 
@@ -141,7 +143,7 @@
             return
         too_long = self._head_bytes > self.gateway.limits.header_bytes
         if not self._head_done and not self._discarding_input and too_long:
-            self._refuse_now(431)
+            self._refuse_for_size(431)
 
     def eof_received(self):
         """Treat a caller that closed its side of the connection as disconnected."""
@@ -204,10 +206,15 @@
         self._head_done = True
         self._arm(self.gateway.limits.idle_timeout, self._on_slow_body)
         # The parser stops after a request that changes the protocol.
-        error_status = 400 if self._parser.should_upgrade() else 0
-        error_status = error_status or _head_error(request, self.gateway.limits)
-        error_status = error_status or self._body_memory_error(request)
-        if _has_body(request):
+        if self._parser.should_upgrade() or not _head_checks.is_well_framed(request):
+            self._refuse_now(400)
+            return
+        size_status = _head_checks.size_status(request, self.gateway.limits)
+        if size_status:
+            self._refuse_for_size(size_status)
+            return
+        error_status = self._body_memory_error(request)
+        if _head_checks.has_body(request):
             error_status = error_status or self.gateway.check_head(request)
         if error_status:
             self._refuse_now(error_status)
@@ -230,7 +237,7 @@
         request = self._request
         size = len(request.body) + len(data)
         if size > self.gateway.limits.body_bytes:
-            self._refuse_now(413)
+            self._refuse_for_size(413)
         elif not self._reserve_body(request, size):
             self._refuse_now(503)
         else:
@@ -373,7 +380,18 @@
     def _on_slow_body(self):
         self._refuse_now(408)
 
-    def _refuse_now(self, status):
+    def _refuse_for_size(self, status):
+        """Refuse an oversized request, with ``status`` only if its limits are in force.
+
+        Guards against a final refusal by limits that the operator has raised, or that
+        are merely the defaults of a process without a configuration.
+        """
+        if self.gateway.limits_final:
+            self._refuse_now(status)
+        else:
+            self._refuse_now(503, RETRY_UNCERTAIN_LIMITS)
+
+    def _refuse_now(self, status, retry_after=None):
         """Refuse the request that is being read, ignore further input, and close.
 
         Earlier requests are still served first. A refusal sent before their responses
@@ -387,6 +405,8 @@
         self._discarding_input = True
         self._disarm()
         request.refused_status = status
+        if retry_after is not None:
+            request.retry_after = retry_after
         request.keep_alive = False
         self._waiting.append(request)
         self._serve_next()
@@ -395,40 +415,3 @@
         if not self._disconnected.done():
             self._disconnected.set_result(None)
         self._wake_writers()
-
-
-def _has_body(request):
-    length = request.header(b"content-length") or b"0"
-    return (
-        length.strip(b"0 ") != b"" or request.header(b"transfer-encoding") is not None
-    )
-
-
-def _head_error(request, limits):
-    """Return the status with which to refuse a request because of its head, or 0.
-
-    Guards against request smuggling. A backend server could read a request with two
-    lengths, or with a length and chunked encoding, as two requests. A request with two
-    hosts could be routed by one and served by the other.
-    """
-    lengths = 0
-    encodings = 0
-    hosts = 0
-    for name, value in request.headers:
-        if name == b"host":
-            hosts += 1
-        elif name == b"content-length":
-            lengths += 1
-            if not value.strip().isdigit():
-                return 400
-            if int(value) > limits.body_bytes:
-                return 413
-        elif name == b"transfer-encoding":
-            encodings += 1
-            if value.strip().lower() != b"chunked":
-                return 400
-    if hosts > 1 or lengths > 1 or encodings > 1 or (lengths and encodings):
-        return 400
-    if sum(len(n) + len(v) + 4 for n, v in request.headers) > limits.header_bytes:
-        return 431
-    return 0
--- a/boragegw/gateway/_endpoint.py
+++ b/boragegw/gateway/_endpoint.py
@@ -35,6 +35,7 @@
         self.handler = handler
         self.now = now
         self.limits = balancing.CallerLimits(body_bytes=0, idle_timeout=60.0)
+        self.limits_final = True
         self.stopping = False
         self.connections = set()
         self.body_memory = _caller_connection.BodyMemory()
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -226,6 +226,11 @@
         configuration = self.board.configuration
         return self._default_limits if configuration is None else configuration.limits
 
+    @property
+    def limits_final(self):
+        """Whether no other limits may be in force, as far as this process knows."""
+        return self.board.configuration is not None and not self.board.behind
+
     @property
     def stopping(self):
         """Whether a graceful shutdown has begun."""
--- /dev/null
+++ b/boragegw/gateway/_head_checks.py
@@ -0,0 +1,42 @@
+"""Checks of a request's head: framing and size."""
+
+
+def has_body(request):
+    """Return whether a request states a body that is not empty."""
+    length = request.header(b"content-length") or b"0"
+    return (
+        length.strip(b"0 ") != b"" or request.header(b"transfer-encoding") is not None
+    )
+
+
+def is_well_framed(request):
+    """Return whether all recipients read the same body and the same host.
+
+    Guards against request smuggling. A backend server could read a request with two
+    lengths, or with a length and chunked encoding, as two requests. A request with two
+    hosts could be routed by one and served by the other.
+    """
+    hosts = _values(request, b"host")
+    lengths = _values(request, b"content-length")
+    encodings = _values(request, b"transfer-encoding")
+    if len(hosts) > 1 or len(lengths) + len(encodings) > 1:
+        return False
+    if not all(length.strip().isdigit() for length in lengths):
+        return False
+    return all(encoding.strip().lower() == b"chunked" for encoding in encodings)
+
+
+def size_status(request, limits):
+    """Return the status for a well-framed head that exceeds the limits, or 0.
+
+    :param limits: :class:`~boragegw.balancing.CallerLimits`.
+    """
+    if int(request.header(b"content-length") or 0) > limits.body_bytes:
+        return 413
+    if sum(len(n) + len(v) + 4 for n, v in request.headers) > limits.header_bytes:
+        return 431
+    return 0
+
+
+def _values(request, name):
+    return [value for header, value in request.headers if header == name]
--- a/boragegw/gateway/tests/test_caller_connection.py
+++ b/boragegw/gateway/tests/test_caller_connection.py
@@ -51,6 +51,7 @@
 
     def __init__(self, **limits):
         self.limits = balancing.CallerLimits(**limits)
+        self.limits_final = True
         self.stopping = False
         self.body_memory = gateway.BodyMemory()
         self.connections = set()
