Routes: a request that may belong to an unreadable route gets 503, not 404

A route whose host or prefix a process cannot read was dropped from the table. Its requests got 404, which callers do not retry, though the route is there. A route with unreadable services was kept already and answers 503.

The table now names the hosts that have further routes (any host, if the host is unreadable too). A request without a route on such a host is refused with 503 and Retry-After. A prefix that does not begin and end with a slash counts as unreadable: no lookup could find it. Requests that match another route are served by it as before; that may be a shorter prefix than that of the unreadable route, which cannot be told.

The seven tests failed before, with 404.

--- a/boragegw/balancing/_routing.py
+++ b/boragegw/balancing/_routing.py
@@ -84,9 +84,16 @@
 
     A lookup tries each prefix of the path that ends with a slash, longest first. Its
     cost depends on the depth of the path and not on the number of routes.
+
+    :param routes: the :class:`Route` objects.
+    :param incomplete_hosts: hosts with further routes whose prefixes are not known;
+        ``None`` among them stands for a host that is not known either.
     """
 
-    def __init__(self, routes):
+    def __init__(self, routes, incomplete_hosts=()):
+        self._incomplete_hosts = frozenset(
+            None if host is None else normalize_host(host) for host in incomplete_hosts
+        )
         self._by_host = {}
         for route in routes:
             self._by_host.setdefault(route.host, {})[route.prefix] = route
@@ -94,6 +101,11 @@
     def __len__(self):
         return sum(len(routes) for routes in self._by_host.values())
 
+    def may_lack_route(self, host):
+        """Return whether ``host`` may have a route that is not in this table."""
+        incomplete = self._incomplete_hosts
+        return None in incomplete or normalize_host(host) in incomplete
+
     def match(self, host, path):
         """Return the route of ``path`` on ``host``, or ``None``.
 
--- a/boragegw/gateway/_admission.py
+++ b/boragegw/gateway/_admission.py
@@ -8,6 +8,9 @@
 #: Retry-After in seconds for a request whose API key has moved to another account since
 #: it was admitted.
 RETRY_MOVED_KEY = 0.05
+#: Retry-After in seconds for a request that may belong to a route that cannot be read.
+#: An operator has to publish another configuration first.
+RETRY_UNREADABLE_ROUTE = 2.0
 
 
 class Rejection(enum.Enum):
@@ -136,10 +139,15 @@
     def _match(self, request):
         host = (request.header(b"host") or b"").decode("latin-1")
         path = request.target.partition(b"?")[0].decode("latin-1")
-        route = self.board.configuration.routes.match(host, path)
-        if route is None:
-            raise RejectedError(Rejection.NO_ROUTE)
-        return route
+        routes = self.board.configuration.routes
+        route = routes.match(host, path)
+        if route is not None:
+            return route
+        if routes.may_lack_route(host):
+            raise RejectedError(
+                Rejection.NO_SERVICE, RETRY_UNREADABLE_ROUTE, "unreadable route"
+            )
+        raise RejectedError(Rejection.NO_ROUTE)
 
     def _identify(self, request, route):
         """Return the :class:`CallerIdentity` by the configuration that is in force."""
--- a/boragegw/platform/_document_decoder.py
+++ b/boragegw/platform/_document_decoder.py
@@ -60,16 +60,30 @@
         decode = self._part_decoder.decode
         version = _parse_version(wire.version)
         services = [decode(_schemas.WireService, raw) for raw in wire.services]
-        routes = [decode(_schemas.WireRoute, raw) for raw in wire.routes]
         limits = decode(_schemas.WireLimits, wire.limits) or _schemas.WireLimits()
         return balancing.Configuration(
             version=version,
-            routes=balancing.RouteTable(self._to_route(r) for r in routes if r),
+            routes=self._to_route_table(wire.routes),
             services={s.name: _service_settings(s) for s in services if s},
             limits=_caller_limits(limits),
             accounts=self._to_accounts(wire.tenants),
         )
 
+    def _to_route_table(self, raw_routes):
+        """Return the table of routes; it records the hosts of unreadable ones.
+
+        Guards against a 404 for a route that exists but whose prefix cannot be read.
+        """
+        routes = []
+        incomplete_hosts = []
+        for raw in raw_routes:
+            wire = self._part_decoder.decode(_schemas.WireRoute, raw)
+            if wire is None:
+                incomplete_hosts.append(_readable_host(raw))
+            else:
+                routes.append(self._to_route(wire))
+        return balancing.RouteTable(routes, incomplete_hosts)
+
     def _to_accounts(self, raw_accounts):
         """Return the table of accounts, or ``None`` if no accounts are configured."""
         if raw_accounts is msgspec.UNSET:
@@ -129,6 +143,14 @@
         return kind
 
 
+def _readable_host(raw_route):
+    """Return the host of a route that is unreadable otherwise, or ``None``."""
+    try:
+        return msgspec.json.decode(raw_route, type=_schemas.WireRouteHost).host
+    except msgspec.DecodeError:
+        return None
+
+
 def _to_listing(identity, wire):
     host, _, port = wire.address.rpartition(":")
     if not host or not port.isdigit():
--- a/boragegw/platform/_schemas.py
+++ b/boragegw/platform/_schemas.py
@@ -29,6 +29,7 @@
     str, msgspec.Meta(pattern=r"^[\x21-\x7e]+\Z", max_length=accounts.MAX_KEY_BYTES)
 ]
 PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
+PathPrefix = typing.Annotated[str, msgspec.Meta(pattern=r"^/(.*/)?\Z")]
 
 
 class WireWeightedService(msgspec.Struct):
@@ -42,7 +43,7 @@
     """A route; ``route_type`` determines whether its requests may be retried."""
 
     host: str
-    prefix: str
+    prefix: PathPrefix
     name: str = ""
     route_type: str = ""
     timeout_s: PositiveFloat = DEFAULT_TIMEOUT
@@ -54,6 +55,12 @@
     anonymous: bool = False
 
 
+class WireRouteHost(msgspec.Struct):
+    """The host of a route whose other fields cannot be read."""
+
+    host: str
+
+
 class WireService(msgspec.Struct):
     """A service; ``max_conns`` limits all callers' connections to one server."""
 
--- a/boragegw/platform/tests/test_documents.py
+++ b/boragegw/platform/tests/test_documents.py
@@ -218,3 +218,42 @@
     configuration, recorder = decode(DOCUMENT)
     assert len(configuration.routes) == len(DOCUMENT["routes"])
     assert not by_field
+
+
+UNREADABLE_ROUTES = {
+    "no object": 5,
+    "no prefix": {"host": "site.example", "service": "app"},
+    "prefix of another type": {"host": "site.example", "prefix": ["/lost/"]},
+    "prefix without slashes": {"host": "site.example", "prefix": "lost"},
+    "no host": {"prefix": "/lost/", "service": "app"},
+    "host of another type": {"host": None, "prefix": "/lost/", "service": "app"},
+}
+
+
+@pytest.mark.parametrize(
+    "unreadable", UNREADABLE_ROUTES.values(), ids=UNREADABLE_ROUTES
+)
+@in_memory
+async def test_request_of_an_unreadable_route_gets_503_and_not_404(unreadable):
+    """Guards against a 404 for a route that exists and whose place cannot be read."""
+    installation = await standins.WireInstallation().start(prefix="/a/")
+    installation.publish([installation.route("/a/"), unreadable])
+    await asyncio.sleep(1.0)
+    for method, body in (("GET", b""), ("POST", b"body")):
+        reply = await installation.call("/lost/x", method, body)
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) > 0
+    assert (await installation.call("/a/x")).status == 200
+    installation.publish([installation.route("/a/")])
+    await asyncio.sleep(1.0)
+    assert (await installation.call("/lost/x")).status == 404
+
+
+@in_memory
+async def test_unreadable_prefix_leaves_other_hosts_as_they_are():
+    installation = await standins.WireInstallation().start(prefix="/a/")
+    lost = {"host": "Other.example:80", "service": "app"}
+    installation.publish([installation.route("/a/"), lost])
+    await asyncio.sleep(1.0)
+    assert (await installation.call("/b/x")).status == 404
+    assert (await installation.call("/b/x", host="other.example")).status == 503
