Limits: one that cannot be read refuses no request for good

A limit of another type than expected was replaced by the default of a missing one: 16,384 bytes of headers. A request over it, but within what the operator meant, got 431. The same happened where the whole part could not be read, and for a whole number that a writer puts as 32768.0.

A float without a fraction is now read as the whole number that it is, in every part. An unreadable limit on a size is replaced by one that refuses next to nothing: 256 KiB of headers, and any body that fits the memory for bodies (which answers 503).

A limit that is missing altogether keeps its default.

--- a/boragegw/platform/_document_decoder.py
+++ b/boragegw/platform/_document_decoder.py
@@ -60,12 +60,14 @@
         decode = self._part_decoder.decode
         version = _parse_version(wire.version)
         services = [decode(_schemas.WireService, raw) for raw in wire.services]
-        limits = decode(_schemas.WireLimits, wire.limits) or _schemas.WireLimits()
+        limits = decode(_schemas.WireLimits, wire.limits)
         return balancing.Configuration(
             version=version,
             routes=self._to_route_table(wire.routes),
             services={s.name: _service_settings(s) for s in services if s},
-            limits=_caller_limits(limits),
+            limits=_caller_limits(
+                limits or _schemas.WireLimits(**_schemas.PERMISSIVE_VALUES)
+            ),
             accounts=self._to_accounts(wire.tenants),
         )
 
--- a/boragegw/platform/_schemas.py
+++ b/boragegw/platform/_schemas.py
@@ -20,6 +20,10 @@
     "rate_per_s": 1.0,
     "burst": 0.0,
 }
+#: Values that replace invalid limits. The default of a missing limit could refuse for
+#: good what the writer permits. Bodies stay within the memory of the process.
+PERMISSIVE_VALUES = {"max_header_bytes": 256 << 10, "max_body_bytes": 1 << 40}
+REPLACEMENT_VALUES = CONSERVATIVE_VALUES | PERMISSIVE_VALUES
 
 NonNegativeFloat = typing.Annotated[float, msgspec.Meta(ge=0)]
 PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0)]
@@ -175,13 +179,14 @@
                     return None
                 continue
             try:
-                values[field.name] = msgspec.convert(fields[field.name], field.type)
+                value = _whole_number(fields[field.name])
+                values[field.name] = msgspec.convert(value, field.type)
             except msgspec.ValidationError as error:
                 self._log_unreadable(part_type, label, field.name, error)
                 if field.required:
                     return None
-                if field.name in CONSERVATIVE_VALUES:
-                    values[field.name] = CONSERVATIVE_VALUES[field.name]
+                if field.name in REPLACEMENT_VALUES:
+                    values[field.name] = REPLACEMENT_VALUES[field.name]
         return part_type(**values)
 
     def _log_unreadable(self, part_type, label, field, reason):
@@ -192,3 +197,9 @@
             field=field,
             reason=str(reason),
         )
+
+
+def _whole_number(value):
+    """Return a float without a fraction as ``int``, and any other value as it is."""
+    is_whole = isinstance(value, float) and value.is_integer()
+    return int(value) if is_whole else value
--- a/boragegw/platform/tests/test_documents.py
+++ b/boragegw/platform/tests/test_documents.py
@@ -257,3 +257,45 @@
     await asyncio.sleep(1.0)
     assert (await installation.call("/b/x")).status == 404
     assert (await installation.call("/b/x", host="other.example")).status == 503
+
+
+@pytest.mark.parametrize(
+    ("section", "field"),
+    [
+        ("routes", "max_attempts"),
+        ("routes", "priority"),
+        ("services", "max_conns"),
+        ("limits", "max_header_bytes"),
+        ("limits", "max_body_bytes"),
+    ],
+)
+def test_whole_number_with_a_fraction_of_zero_is_read(section, field):
+    """Guards against defaults in place of a number that another writer put as 7.0."""
+    document = copy.deepcopy(DOCUMENT)
+    part = document[section] if section == "limits" else document[section][0]
+    part[field] = float(part[field])
+    configuration, events = decode(document)
+    whole, _ = decode(DOCUMENT)
+    assert route_of(configuration, 0) == route_of(whole, 0)
+    assert configuration.services == whole.services
+    assert configuration.limits == whole.limits
+    assert not events
+
+
+@pytest.mark.parametrize("invalid_value", ["32768", None, 0.5, []])
+@pytest.mark.parametrize("field", ["max_header_bytes", None])
+@in_memory
+async def test_unreadable_limit_refuses_no_request_for_good(field, invalid_value):
+    """Guards against 431 by a default that is below the limit that cannot be read."""
+    installation = await standins.WireInstallation().start()
+    document = copy.deepcopy(DOCUMENT)
+    document["routes"][0]["prefix"] = "/"
+    if field is None:
+        document["limits"] = invalid_value
+    else:
+        document["limits"][field] = invalid_value
+    installation.store.put("op/config", {**document, "version": "r9"})
+    await asyncio.sleep(1.0)
+    reply = await installation.call("/x", x_large="v" * 20_000)
+    assert reply.status in (200, 503)
+    assert (await installation.call("/x")).status == 200
