Routing: a host with a final dot, an empty port or blanks finds its route

Host: a.example. and a.example: and a host with a port and blanks after it are proper (RFC 3986, 3.2.2 and 3.2.3; RFC 9110, 5.5) but got 404, because the table was searched for the text as sent. The parser leaves the blanks after a value in place; they are now removed from the value of every header.

--- a/boragegw/balancing/_routing.py
+++ b/boragegw/balancing/_routing.py
@@ -127,11 +127,12 @@
 
 
 def normalize_host(host):
-    """Return ``host`` in lower case without its port."""
+    """Return ``host`` in lower case without its port and without a final dot."""
+    host = host.strip()
     name, colon, port = host.rpartition(":")
-    if colon and port.isdigit():
+    if colon and (not port or port.isdigit()):
         host = name
-    return host.strip().lower()
+    return host.removesuffix(".").lower()
 
 
 class WeightedRoundRobin:
--- a/boragegw/gateway/_caller_connection.py
+++ b/boragegw/gateway/_caller_connection.py
@@ -188,13 +188,13 @@
             self._request.target += url
 
     def on_header(self, name, value):
-        """Add a header.
+        """Add a header, without the blanks around its value.
 
         Trailers of a chunked body are dropped. They arrive after the head has been
         checked and could replace what the decision was based on.
         """
         if not self._discarding_input and not self._head_done:
-            self._request.headers.append((name.lower(), value))
+            self._request.headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self):
         """Check the head before any of the body is accepted."""
--- a/boragegw/platform/tests/test_request_forms.py
+++ b/boragegw/platform/tests/test_request_forms.py
@@ -43,3 +43,24 @@
     reply = await send(installation, headers=headers, method="POST")
     assert reply.status == 503
     assert float(reply.headers["retry-after"]) > 0
+
+
+PROPER_HOSTS = [
+    "site.example",
+    "SITE.Example",
+    "site.example:8548",
+    "site.example:",
+    "site.example.",
+    "site.example.:80",
+    "site.example ",
+    "site.example:8548 \t",
+    "\tsite.example",
+]
+
+
+@pytest.mark.parametrize("host", PROPER_HOSTS)
+@in_memory
+async def test_every_form_of_a_host_finds_its_route(host):
+    """Guards against a 404 for a host with blanks, a final dot or an empty port."""
+    installation = await standins.WireInstallation().start()
+    assert (await send(installation, headers={"host": host})).status == 200
