Callers: targets in absolute form are accepted

GET http://host/path is how a client that takes the gateway for a proxy sends a request; a server must accept it (RFC 9112, 3.2.2). It got 404, because the whole target was taken for the path. The host of the target now replaces that of the Host header, and backend servers get the path alone. Two Host headers stay a 400, as does an authority with user information.

Twelve of the 18 tests of proper targets failed before, with 404.

--- a/boragegw/gateway/_caller_connection.py
+++ b/boragegw/gateway/_caller_connection.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-from boragegw.gateway import _head_checks, _socket_options
+from boragegw.gateway import _absolute_form, _head_checks, _socket_options
 
 #: Requests of one connection that are read ahead while an earlier one is served.
 PIPELINE_LIMIT = 8
@@ -209,6 +209,9 @@
         if self._parser.should_upgrade() or not _head_checks.is_well_framed(request):
             self._refuse_now(400)
             return
+        if not _absolute_form.to_origin_form(request):
+            self._refuse_now(400)
+            return
         size_status = _head_checks.size_status(request, self.gateway.limits)
         if size_status:
             self._refuse_for_size(size_status)
--- a/boragegw/platform/tests/test_request_forms.py
+++ b/boragegw/platform/tests/test_request_forms.py
@@ -64,3 +64,42 @@
     """Guards against a 404 for a host with blanks, a final dot or an empty port."""
     installation = await standins.WireInstallation().start()
     assert (await send(installation, headers={"host": host})).status == 200
+
+
+PROPER_TARGETS = {
+    "/x": "/x",
+    "http://site.example/x?y=1": "/x?y=1",
+    "http://SITE.example:8548/x": "/x",
+    "https://site.example/x": "/x",
+    "HTTP://site.example/x": "/x",
+    "http://site.example": "/",
+    "http://site.example?y=http://z/": "/?y=http://z/",
+    "/http://other.example/x": "/http://other.example/x",
+    "//site.example/x": "//site.example/x",
+}
+
+
+@pytest.mark.parametrize("host", ["site.example", "other.example"])
+@pytest.mark.parametrize("target", PROPER_TARGETS)
+@in_memory
+async def test_absolute_target_is_routed_by_its_own_host(target, host):
+    """Guards against a 404 for a target in absolute form, whose host replaces Host."""
+    installation = await standins.WireInstallation().start()
+    reply = await send(installation, target, {"host": host})
+    if target.startswith("/") and host != "site.example":
+        assert reply.status == 404
+        return
+    assert reply.status == 200
+    ((_, path, _),) = installation.runs()
+    assert path.decode() == PROPER_TARGETS[target]
+
+
+@pytest.mark.parametrize(
+    "target",
+    ["ftp://site.example/x", "http:///x", "http://user@site.example/x", "http:/x"],
+)
+@in_memory
+async def test_target_without_a_valid_authority_runs_nowhere(target):
+    installation = await standins.WireInstallation().start()
+    assert (await send(installation, target)).status in (400, 404)
+    assert installation.runs() == []
