Callers: the limit of a head does not depend on how its bytes are cut

A head in one piece was measured by its header fields, one in several pieces by all its bytes with the request line. A head within the limit got 431 if its network segments ended before it did, so on slow links or with a long target. The other way round, a target over the limit passed in one piece.

Fields and target are now each held to the limit, and a head that is still arriving is refused only by what exceeds both.

--- a/boragegw/gateway/_caller_connection.py
+++ b/boragegw/gateway/_caller_connection.py
@@ -17,6 +17,9 @@
 #: Seconds without data until which the rest of a refused request is read and discarded.
 #: Closing earlier would reset the connection before the caller has read the refusal.
 LINGER_TIMEOUT = 0.5
+#: Bytes of a head besides its target and its header fields: a method, the protocol
+#: version and line ends.
+REQUEST_LINE_BYTES = 64
 #: Retry-After in seconds for a request over limits that may be outdated.
 RETRY_UNCERTAIN_LIMITS = 0.3
 
@@ -141,10 +144,16 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._refuse_now(400)
             return
-        too_long = self._head_bytes > self.gateway.limits.header_bytes
-        if not self._head_done and not self._discarding_input and too_long:
+        if not self._head_done and not self._discarding_input and self._is_head_large():
             self._refuse_for_size(431)
 
+    def _is_head_large(self):
+        target = b"" if self._request is None else self._request.target
+        header_bytes = self.gateway.limits.header_bytes
+        if len(target) > header_bytes:
+            return True
+        return self._head_bytes - len(target) - REQUEST_LINE_BYTES > header_bytes
+
     def eof_received(self):
         """Treat a caller that closed its side of the connection as disconnected."""
         self._mark_disconnected()
@@ -209,13 +218,13 @@
         if self._parser.should_upgrade() or not _head_checks.is_well_framed(request):
             self._refuse_now(400)
             return
-        if not _absolute_form.to_origin_form(request):
-            self._refuse_now(400)
-            return
         size_status = _head_checks.size_status(request, self.gateway.limits)
         if size_status:
             self._refuse_for_size(size_status)
             return
+        if not _absolute_form.to_origin_form(request):
+            self._refuse_now(400)
+            return
         error_status = self._body_memory_error(request)
         if _head_checks.has_body(request):
             error_status = error_status or self.gateway.check_head(request)
--- a/boragegw/gateway/_head_checks.py
+++ b/boragegw/gateway/_head_checks.py
@@ -29,11 +29,14 @@
 def size_status(request, limits):
     """Return the status for a well-framed head that exceeds the limits, or 0.
 
+    The limit of a head applies to its fields and to its target.
+
     :param limits: :class:`~boragegw.balancing.CallerLimits`.
     """
     if int(request.header(b"content-length") or 0) > limits.body_bytes:
         return 413
-    if sum(len(n) + len(v) + 4 for n, v in request.headers) > limits.header_bytes:
+    fields = sum(len(name) + len(value) + 4 for name, value in request.headers)
+    if max(fields, len(request.target)) > limits.header_bytes:
         return 431
     return 0
 
