Callers: an offer of another protocol is ignored, not refused

Clients that offer HTTP/2 in clear text send Upgrade: h2c with Connection: Upgrade on ordinary requests. They got 400, and the connection was closed, because the parser stops after such a request. RFC 9110 (7.8) lets a server ignore the offer; it must not call the request malformed.

The connection goes on with another parser. The one that stopped takes a body for data in the other protocol, so the next one is started with the framing of the same, already checked head and reads the body. Bytes in another protocol that follow get 400. Upgrade, Connection and the headers that it names were never passed on; a test now says so. CONNECT and ambiguous framing stay a 400.

--- a/boragegw/gateway/_head_checks.py
+++ b/boragegw/gateway/_head_checks.py
@@ -9,6 +9,13 @@
     )
 
 
+def framing_head(request):
+    """Return a head that frames the same body as that of a well-framed request."""
+    names = (b"content-length", b"transfer-encoding")
+    lines = [name + b": " + v for name in names for v in _values(request, name)]
+    return b"POST / HTTP/1.1\r\n" + b"\r\n".join(lines) + b"\r\n\r\n"
+
+
 def is_well_framed(request):
     """Return whether all recipients read the same body and the same host.
 
--- a/boragegw/gateway/tests/test_proper_requests.py
+++ b/boragegw/gateway/tests/test_proper_requests.py
@@ -47,3 +47,43 @@
     process, transport = await send_in_pieces(head, size, header_bytes=1000)
     assert stand_in.statuses(transport) == [431]
     assert process.served == []
+
+
+UPGRADE = HEAD + b"upgrade: h2c\r\nconnection: Upgrade, HTTP2-Settings\r\n"
+UPGRADE += b"http2-settings: AA\r\n"
+UPGRADES = [
+    UPGRADE + b"\r\n",
+    UPGRADE + b"content-length: 3\r\n\r\nabc",
+    UPGRADE + b"transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+    HEAD + b"upgrade: websocket\r\nconnection: upgrade\r\n\r\n",
+]
+
+
+@pytest.mark.parametrize("size", [1, 7, 5000])
+@pytest.mark.parametrize("upgrade", UPGRADES, ids=range(len(UPGRADES)))
+@in_memory
+async def test_offer_of_another_protocol_is_ignored(upgrade, size):
+    """Guards against a 400 for a request that offers an upgrade."""
+    process, transport = await send_in_pieces(upgrade + upgrade + HEAD + b"\r\n", size)
+    assert stand_in.statuses(transport) == [200, 200, 200]
+    body = b"abc" if b"abc" in upgrade else b""
+    assert [served[2] for served in process.served] == [body, body, b""]
+    assert not transport.closed
+
+
+@pytest.mark.parametrize("size", [1, 7, 5000])
+@pytest.mark.parametrize("upgrade", UPGRADES, ids=range(len(UPGRADES)))
+@in_memory
+async def test_bytes_after_an_offered_protocol_are_read_as_http(upgrade, size):
+    process, transport = await send_in_pieces(upgrade + b"\x00\x00\x12\x04", size)
+    assert stand_in.statuses(transport) == [200, 400]
+    assert len(process.served) == 1
+
+
+@pytest.mark.parametrize("line", [b"content-length: 3\r\n", b"host: b\r\n"])
+@in_memory
+async def test_offer_of_another_protocol_permits_no_ambiguous_framing(line):
+    sent = UPGRADE + line + b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n"
+    process, transport = await send_in_pieces(sent, 5000)
+    assert stand_in.statuses(transport) == [400]
+    assert process.served == []
--- a/boragegw/platform/tests/test_request_forms.py
+++ b/boragegw/platform/tests/test_request_forms.py
@@ -103,3 +103,22 @@
     installation = await standins.WireInstallation().start()
     assert (await send(installation, target)).status in (400, 404)
     assert installation.runs() == []
+
+
+@in_memory
+async def test_offer_of_another_protocol_is_not_passed_on():
+    installation = await standins.WireInstallation().start(backends=1)
+    offer = {
+        "upgrade": "h2c",
+        "connection": "Upgrade, HTTP2-Settings",
+        "http2-settings": "AA",
+    }
+    reply = await installation.call("/x", "POST", b"body", **offer)
+    assert reply.status == 200
+    assert "upgrade" not in reply.headers
+    (head,) = installation.backends["i-0"].heads.values()
+    names = {name for name, _ in head}
+    assert b"x-request-id" in names
+    assert not names & {b"upgrade", b"connection", b"http2-settings"}
+    ((_, _, body),) = installation.runs()
+    assert body == b"body"
