Callers: an error of our own at the head is logged and not answered with 400

An exception in the decision on a request's head or body, or anywhere else in the parser's callbacks, reached the connection as a subclass of the parser's error. The caller got 400, which it does not retry, and no line was logged: the fault looked like malformed requests. Such an error now closes the connection and is logged, as errors in serving a request are.

The test failed before: 400 and no log line.

--- a/boragegw/gateway/_caller_connection.py
+++ b/boragegw/gateway/_caller_connection.py
@@ -141,6 +141,11 @@
                 self._arm(self.gateway.limits.header_timeout, self._on_slow_head)
         try:
             self._parse(data)
+        except httptools.HttpParserCallbackError as error:
+            # Not the caller's fault: a 400 would keep it from trying elsewhere.
+            self.gateway.log_error(error.__context__ or error)
+            self.abort()
+            return
         except httptools.HttpParserError:
             self._refuse_now(400)
             return
--- a/boragegw/gateway/tests/test_proper_requests.py
+++ b/boragegw/gateway/tests/test_proper_requests.py
@@ -87,3 +87,20 @@
     process, transport = await send_in_pieces(sent, 5000)
     assert stand_in.statuses(transport) == [400]
     assert process.served == []
+
+
+@in_memory
+async def test_defect_of_this_process_is_not_blamed_on_the_request():
+    """Guards against a 400, without a log line, for an error of our own at the head."""
+    process = stand_in.Process()
+    errors = []
+    process.log_error = errors.append
+    process.check_head = None
+    connection, transport = stand_in.connect(process)
+    connection.data_received(HEAD + b"content-length: 3\r\n\r\nabc")
+    await asyncio.sleep(0.1)
+    assert transport.aborted
+    connection.connection_lost(None)
+    assert stand_in.statuses(transport) == []
+    assert [type(error) for error in errors] == [TypeError]
+    assert process.body_memory.used_bytes == 0
