Callers: the timer of a head runs from its first byte

The timer of a head was started by any data after a request. A blank line behind a body, as some old clients send it, gave an idle connection 408 and closed it after header_timeout; the next request on it was lost. Where a head began in the segment that ended the request before, no timer was started at all, and when an earlier request was answered, its idle timer replaced the timer of a half-read one: such connections stayed open for good.

The parser's first callback of a request now starts the timer, and the idle timer is started only if no request has begun. With that a head can wait behind a full pipeline, which this process does not read on: it is not refused as slow then.

--- a/boragegw/gateway/_caller_connection.py
+++ b/boragegw/gateway/_caller_connection.py
@@ -137,8 +137,6 @@
             return
         if not self._head_done:
             self._head_bytes += len(data)
-            if self._request is None:
-                self._arm(self.gateway.limits.header_timeout, self._on_slow_head)
         try:
             self._parse(data)
         except httptools.HttpParserCallbackError as error:
@@ -221,6 +219,7 @@
             arrived=self.gateway.now(), disconnected=self._disconnected
         )
         self._head_done = False
+        self._arm(self.gateway.limits.header_timeout, self._on_slow_head)
 
     def on_url(self, url):
         """Append to the target, which may arrive in pieces."""
@@ -344,7 +343,8 @@
         if not request.keep_alive or self.gateway.stopping or self._disconnected.done():
             self.close()
         else:
-            self._arm(self.gateway.limits.idle_timeout, self._on_idle)
+            if self._request is None:
+                self._arm(self.gateway.limits.idle_timeout, self._on_idle)
             self._serve_next()
 
     def _drop_waiting(self):
@@ -419,10 +419,17 @@
             self.close()
 
     def _on_slow_head(self):
-        self._refuse_now(408)
+        self._on_slow_request(self.gateway.limits.header_timeout)
 
     def _on_slow_body(self):
-        self._refuse_now(408)
+        self._on_slow_request(self.gateway.limits.idle_timeout)
+
+    def _on_slow_request(self, timeout):
+        """Refuse a request that arrives too slowly, unless its rest is not read."""
+        if self._reading_paused:
+            self._arm(timeout, lambda: self._on_slow_request(timeout))
+        else:
+            self._refuse_now(408)
 
     def _refuse_for_size(self, status):
         """Refuse an oversized request, with ``status`` only if its limits are in force.
--- a/boragegw/gateway/tests/test_proper_requests.py
+++ b/boragegw/gateway/tests/test_proper_requests.py
@@ -104,3 +104,61 @@
     assert stand_in.statuses(transport) == []
     assert [type(error) for error in errors] == [TypeError]
     assert process.body_memory.used_bytes == 0
+
+
+async def receive(process, *pieces):
+    """Send pieces, each followed by a pause in seconds; return the transport."""
+    connection, transport = stand_in.connect(process)
+    for piece, pause in pieces:
+        connection.data_received(piece)
+        await asyncio.sleep(pause)
+    return transport
+
+
+@in_memory
+async def test_blank_lines_between_requests_are_no_slow_head():
+    """Guards against a 408 on an idle connection whose last request ended in a CRLF."""
+    process = stand_in.Process(header_timeout=3.0, idle_timeout=15.0)
+    request = HEAD + b"content-length: 3\r\n\r\nabc"
+    pieces = [(request, 0.1), (b"\r\n", 10.0), (request + b"\r\n", 10.0)]
+    transport = await receive(process, *pieces, (request, 1.0))
+    assert stand_in.statuses(transport) == [200, 200, 200]
+    assert not transport.closed
+
+
+@pytest.mark.parametrize(
+    ("begun", "timeout"),
+    [(b"GET /y HT", 3.0), (HEAD + b"content-length: 9\r\n\r\nab", 15.0)],
+)
+@pytest.mark.parametrize("pause", [0.0, 0.2])
+@in_memory
+async def test_request_begun_behind_another_one_is_not_awaited_forever(
+    begun, timeout, pause
+):
+    """Guards against a half request without a timer when the one before it ends."""
+    process = stand_in.Process(header_timeout=3.0, idle_timeout=15.0)
+    process.delay = 0.5
+    pieces = [(HEAD + b"\r\n" + begun, timeout - 0.1)]
+    if pause:
+        pieces = [(HEAD + b"\r\n", pause), (begun, timeout - 0.1)]
+    transport = await receive(process, *pieces)
+    assert stand_in.statuses(transport) == [200]
+    await asyncio.sleep(0.2)
+    assert stand_in.statuses(transport) == [200, 408]
+
+
+@in_memory
+async def test_requests_that_this_process_does_not_read_are_not_slow():
+    """Guards against a 408 for a head whose rest waits in a paused connection."""
+    process = stand_in.Process(header_timeout=3.0)
+    process.delay = 4.0
+    requests = (HEAD + b"\r\n") * 12 + b"GET /y HT"
+    connection, transport = stand_in.connect(process)
+    connection.data_received(requests)
+    await asyncio.sleep(3.5)
+    assert not transport.reading
+    await asyncio.sleep(0.6)
+    assert transport.reading
+    connection.data_received(b"TP/1.1\r\nhost: a\r\n\r\n")
+    await asyncio.sleep(60.0)
+    assert stand_in.statuses(transport) == [200] * 13
