Callers: 100 Continue waits for the responses before it

A pipelined request with Expect: 100-continue was told to go on as soon as its head was read: into the middle of the response to an earlier request, which the caller then got damaged. 100 was also sent for other expectations, to HTTP/1.0, without a body and after the body had come.

It is now sent when no earlier request is in service, and only to a caller that can wait for it. A caller that has not been told yet is not refused as slow.

--- a/boragegw/gateway/_caller_connection.py
+++ b/boragegw/gateway/_caller_connection.py
@@ -117,6 +117,7 @@
         self._disconnected = None
         self._can_write = None
         self._reading_paused = False
+        self._awaits_continue = False
 
     # Callbacks of the transport.
 
@@ -149,6 +150,7 @@
             return
         if not self._head_done and not self._discarding_input and self._is_head_large():
             self._refuse_for_size(431)
+        self._ask_for_body()
 
     def _parse(self, data):
         """Parse received data.
@@ -259,8 +261,11 @@
             error_status = error_status or self.gateway.check_head(request)
         if error_status:
             self._refuse_now(error_status)
-        elif request.header(b"expect") is not None:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            return
+        self._awaits_continue = (
+            _head_checks.expects_continue(request)
+            and self._parser.get_http_version() != "1.0"
+        )
 
     def _body_memory_error(self, request):
         """Reserve memory for the stated body length; return 0, or 503 on failure.
@@ -275,6 +280,7 @@
         """Append to the body within the limits."""
         if self._discarding_input:
             return
+        self._awaits_continue = False
         request = self._request
         size = len(request.body) + len(data)
         if size > self.gateway.limits.body_bytes:
@@ -301,6 +307,7 @@
         if self._parser.should_upgrade() and _head_checks.has_body(self._request):
             return  # the next parser reads the body
         request, self._request = self._request, None
+        self._awaits_continue = False
         self._head_done = False
         self._head_bytes = 0
         self._disarm()
@@ -346,6 +353,13 @@
             if self._request is None:
                 self._arm(self.gateway.limits.idle_timeout, self._on_idle)
             self._serve_next()
+            self._ask_for_body()
+
+    def _ask_for_body(self):
+        """Send 100 Continue to a caller that waits for it, after earlier responses."""
+        if self._awaits_continue and self._task is None and not self._discarding_input:
+            self._awaits_continue = False
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _drop_waiting(self):
         for request in self._waiting:
@@ -425,8 +439,8 @@
         self._on_slow_request(self.gateway.limits.idle_timeout)
 
     def _on_slow_request(self, timeout):
-        """Refuse a request that arrives too slowly, unless its rest is not read."""
-        if self._reading_paused:
+        """Refuse a request that arrives too slowly, unless its rest is not awaited."""
+        if self._reading_paused or self._awaits_continue:
             self._arm(timeout, lambda: self._on_slow_request(timeout))
         else:
             self._refuse_now(408)
--- a/boragegw/gateway/_head_checks.py
+++ b/boragegw/gateway/_head_checks.py
@@ -9,6 +9,12 @@
     )
 
 
+def expects_continue(request):
+    """Return whether the caller may wait for 100 Continue before it sends the body."""
+    expectation = request.header(b"expect") or b""
+    return expectation.lower() == b"100-continue" and has_body(request)
+
+
 def framing_head(request):
     """Return a head that frames the same body as that of a well-framed request."""
     names = (b"content-length", b"transfer-encoding")
--- a/boragegw/gateway/tests/test_proper_requests.py
+++ b/boragegw/gateway/tests/test_proper_requests.py
@@ -162,3 +162,44 @@
     connection.data_received(b"TP/1.1\r\nhost: a\r\n\r\n")
     await asyncio.sleep(60.0)
     assert stand_in.statuses(transport) == [200] * 13
+
+
+EXPECTING = b"POST /y HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\n"
+
+
+@in_memory
+async def test_body_is_asked_for_after_the_responses_before_it():
+    """Guards against a 100 in the middle of the response to an earlier request."""
+    process = stand_in.Process()
+    process.delay = 0.5
+    connection, transport = stand_in.connect(process)
+    head = EXPECTING + b"content-length: 3\r\n\r\n"
+    connection.data_received(HEAD + b"\r\n" + HEAD + b"\r\n" + head)
+    await asyncio.sleep(0.7)
+    assert stand_in.statuses(transport) == [200]
+    await asyncio.sleep(0.5)
+    assert stand_in.statuses(transport) == [200, 200, 100]
+    connection.data_received(b"abc")
+    await asyncio.sleep(1.0)
+    assert stand_in.statuses(transport) == [200, 200, 100, 200]
+
+
+@pytest.mark.parametrize(
+    ("sent", "expected"),
+    [
+        (EXPECTING + b"content-length: 3\r\n\r\nabc", [200]),
+        (EXPECTING + b"content-length: 3\r\n\r\na", []),
+        (EXPECTING + b"content-length: 3\r\n\r\n", [100]),
+        (EXPECTING.replace(b"100-c", b"100-C") + b"content-length: 3\r\n\r\n", [100]),
+        (EXPECTING + b"transfer-encoding: chunked\r\n\r\n", [100]),
+        (EXPECTING + b"content-length: 0\r\n\r\n", [200]),
+        (EXPECTING + b"\r\n", [200]),
+        (EXPECTING.replace(b"100-continue", b"x") + b"content-length: 3\r\n\r\n", []),
+        (EXPECTING.replace(b"P/1.1", b"P/1.0") + b"content-length: 3\r\n\r\n", []),
+    ],
+)
+@in_memory
+async def test_body_is_asked_for_only_if_the_caller_waits_for_that(sent, expected):
+    process = stand_in.Process()
+    transport = await receive(process, (sent, 0.1))
+    assert stand_in.statuses(transport) == expected
