Callers: requests and the memory of bodies are a module of their own

Moved without a change in behaviour: Request and BodyMemory to _request.py, the size of a head that is still arriving to _head_checks.py.

--- a/boragegw/gateway/__init__.py
+++ b/boragegw/gateway/__init__.py
@@ -18,7 +18,7 @@
     ServiceState,
     request_fingerprint,
 )
-from boragegw.gateway._caller_connection import BodyMemory, CallerConnection, Request
+from boragegw.gateway._caller_connection import CallerConnection
 from boragegw.gateway._catalogue import Catalogue
 from boragegw.gateway._dialect import Dialect, HealthResponse
 from boragegw.gateway._directory import DirectoryPolicy
@@ -32,6 +32,7 @@
 from boragegw.gateway._metrics import CONTENT_TYPE, COUNTERS, Histogram, render_metrics
 from boragegw.gateway._peer_messages import Life, Member
 from boragegw.gateway._replication import PeerSource, ReplicaServer
+from boragegw.gateway._request import BodyMemory, Request
 from boragegw.gateway._sender import Sender
 from boragegw.gateway._server_selector import Selection, ServerSelector
 from boragegw.gateway._sources import (
--- a/boragegw/gateway/_caller_connection.py
+++ b/boragegw/gateway/_caller_connection.py
@@ -2,96 +2,20 @@
 
 import asyncio
 import collections
-import dataclasses
 
 import httptools
 
-from boragegw.gateway import _absolute_form, _head_checks, _socket_options
+from boragegw.gateway import _absolute_form, _head_checks, _request, _socket_options
 
 #: Requests of one connection that are read ahead while an earlier one is served.
 PIPELINE_LIMIT = 8
-#: Bytes of request bodies that this process holds for all callers together. Together
-#: with the responses in flight, this stays well below the 200 MB of the smallest
-#: machines.
-BODY_MEMORY_BYTES = 48 << 20
 #: Seconds without data until which the rest of a refused request is read and discarded.
 #: Closing earlier would reset the connection before the caller has read the refusal.
 LINGER_TIMEOUT = 0.5
-#: Bytes of a head besides its target and its header fields: a method, the protocol
-#: version and line ends.
-REQUEST_LINE_BYTES = 64
 #: Retry-After in seconds for a request over limits that may be outdated.
 RETRY_UNCERTAIN_LIMITS = 0.3
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class Request:
-    """One complete request of a caller.
-
-    :param method: bytes.
-    :param target: path and query as sent.
-    :param headers: pairs of bytes, names in lower case.
-    :param reserved_bytes: bytes of :class:`BodyMemory` that are reserved for the body.
-    :param arrived: monotonic seconds of the first byte.
-    :param keep_alive: whether the connection stays open after the response.
-    :param refused_status: HTTP status with which the request is refused, or 0.
-    :param retry_after: seconds after which a refused request may be retried, or
-        ``None``.
-    :param admission: the :class:`~boragegw.gateway.Admission` that its head has got, or
-        ``None`` if that is still to be decided.
-    :param disconnected: future that completes when the caller disconnects.
-    """
-
-    method: bytes = b""
-    target: bytes = b""
-    headers: list = dataclasses.field(default_factory=list)
-    body: bytearray = dataclasses.field(default_factory=bytearray)
-    reserved_bytes: int = 0
-    arrived: float = 0.0
-    keep_alive: bool = True
-    refused_status: int = 0
-    retry_after: float | None = None
-    admission: object = None
-    disconnected: object = None
-
-    def header(self, name):
-        """Return the first value of ``name`` (bytes in lower case), or ``None``."""
-        for header, value in self.headers:
-            if header == name:
-                return value
-        return None
-
-    @property
-    def caller_gone(self):
-        """Whether the caller has closed its connection."""
-        return self.disconnected.done()
-
-
-class BodyMemory:
-    """Memory budget for the request bodies that this process holds or expects.
-
-    :param limit: maximum bytes.
-    :ivar used_bytes: bytes that are reserved.
-    """
-
-    def __init__(self, limit=BODY_MEMORY_BYTES):
-        self.limit = limit
-        self.used_bytes = 0
-
-    def reserve(self, request, size):
-        """Reserve ``size`` more bytes for a request; return whether they fit."""
-        if self.used_bytes + size > self.limit:
-            return False
-        self.used_bytes += size
-        request.reserved_bytes += size
-        return True
-
-    def release(self, request):
-        """Release the bytes that are reserved for a request."""
-        self.used_bytes -= request.reserved_bytes
-        request.reserved_bytes = 0
-
-
 class CallerConnection(asyncio.Protocol):
     """One connection of a caller.
 
@@ -148,10 +72,16 @@
         except httptools.HttpParserError:
             self._refuse_now(400)
             return
-        if not self._head_done and not self._discarding_input and self._is_head_large():
-            self._refuse_for_size(431)
+        if not self._head_done and not self._discarding_input:
+            self._check_partial_head()
         self._ask_for_body()
 
+    def _check_partial_head(self):
+        target = b"" if self._request is None else self._request.target
+        limits = self.gateway.limits
+        if _head_checks.is_partial_head_oversized(self._head_bytes, target, limits):
+            self._refuse_for_size(431)
+
     def _parse(self, data):
         """Parse received data.
 
@@ -178,13 +108,6 @@
             self._parser.feed_data(_head_checks.framing_head(self._request))
             self._discarding_input = False
 
-    def _is_head_large(self):
-        target = b"" if self._request is None else self._request.target
-        header_bytes = self.gateway.limits.header_bytes
-        if len(target) > header_bytes:
-            return True
-        return self._head_bytes - len(target) - REQUEST_LINE_BYTES > header_bytes
-
     def eof_received(self):
         """Treat a caller that closed its side of the connection as disconnected."""
         self._mark_disconnected()
@@ -217,7 +140,7 @@
         """Start a request."""
         if self._discarding_input:
             return
-        self._request = Request(
+        self._request = _request.Request(
             arrived=self.gateway.now(), disconnected=self._disconnected
         )
         self._head_done = False
@@ -462,7 +385,7 @@
         Earlier requests are still served first. A refusal sent before their responses
         would be taken for the response to another request.
         """
-        request = self._request or Request(
+        request = self._request or _request.Request(
             arrived=self.gateway.now(), disconnected=self._disconnected
         )
         self._drop_body(request)
--- a/boragegw/gateway/_endpoint.py
+++ b/boragegw/gateway/_endpoint.py
@@ -5,7 +5,7 @@
 import logging
 
 from boragegw import balancing
-from boragegw.gateway import _caller_connection
+from boragegw.gateway import _caller_connection, _request
 
 logger = logging.getLogger(__name__)
 
@@ -38,7 +38,7 @@
         self.limits_final = True
         self.stopping = False
         self.connections = set()
-        self.body_memory = _caller_connection.BodyMemory()
+        self.body_memory = _request.BodyMemory()
 
     async def listen(self, address):
         """Accept connections on ``(host, port)`` and return the server."""
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -19,6 +19,7 @@
     _peer_messages,
     _reconciliation,
     _replication,
+    _request,
     _server_selector,
 )
 
@@ -109,7 +110,7 @@
         self.log = log
         self.board = board
         self.connections = set()
-        self.body_memory = _caller_connection.BodyMemory()
+        self.body_memory = _request.BodyMemory()
         self._seeds = settings.seeds
         self._default_limits = balancing.CallerLimits()
         self._listeners = []
--- a/boragegw/gateway/_head_checks.py
+++ b/boragegw/gateway/_head_checks.py
@@ -1,5 +1,9 @@
 """Checks of a request's head: framing and size."""
 
+#: Bytes of a head besides its target and its header fields: a method, the protocol
+#: version and line ends.
+REQUEST_LINE_BYTES = 64
+
 
 def has_body(request):
     """Return whether a request states a body that is not empty."""
@@ -54,5 +58,15 @@
     return 0
 
 
+def is_partial_head_oversized(received_bytes, target, limits):
+    """Return whether a head that is still arriving exceeds the limits in any case.
+
+    :param received_bytes: bytes of the head so far.
+    :param target: the part of its target that has arrived.
+    """
+    largest = max(len(target), received_bytes - len(target) - REQUEST_LINE_BYTES)
+    return largest > limits.header_bytes
+
+
 def _values(request, name):
     return [value for header, value in request.headers if header == name]
