Proper requests in odd forms amid restarts, changes and larger limits

Three seeded runs in memory: two processes, one killed and started again, 50 routes more, limits above the defaults, requests in the forms of the other tests. No response may be a 3xx or 4xx of our own besides 408, 421 and 429, and more than half of the requests are served. On all three fail with 400 and 404.

--- a/boragegw/platform/tests/test_request_forms.py
+++ b/boragegw/platform/tests/test_request_forms.py
@@ -1,6 +1,8 @@
 """Proper requests in unusual forms or at unusual moments are not refused for good."""
 
 import asyncio
+import contextlib
+import random
 
 import pytest
 
@@ -122,3 +124,60 @@
     assert not names & {b"upgrade", b"connection", b"http2-settings"}
     ((_, _, body),) = installation.runs()
     assert body == b"body"
+
+
+PROMISES = (408, 421, 429)
+
+
+def is_denied(status):
+    """Return whether a status of our own refuses a request for good."""
+    return 300 <= status < 500 and status not in PROMISES
+
+
+def random_request(random_state):
+    """Return the arguments of a proper request in a random form."""
+    host = random_state.choice(PROPER_HOSTS)
+    target = random_state.choice(["/a/x", "/a/", "http://site.example/a/x?y"])
+    headers = random_state.choice(
+        [{}, {"x-empty": ""}, {"upgrade": "h2c", "connection": "upgrade"}]
+    )
+    sizes = {"x-large": "v" * random_state.choice([1, 17_000, 29_000])}
+    body = b"z" * random_state.choice([0, 0, 5, 200_000])
+    method = "POST" if body else random_state.choice(["GET", "POST"])
+    return target, {"host": host, **headers, **sizes}, method, body
+
+
+@pytest.mark.parametrize("seed", range(3))
+@in_memory
+async def test_proper_request_is_denied_at_no_moment(seed):
+    """Guards against a 4xx of our own amid restarts, changes and an absent store."""
+    random_state = random.Random(seed)
+    installation = standins.WireInstallation(seed)
+    routes = [installation.route("/a/")]
+    await installation.start(gateways=2, prefix="/a/")
+    installation.publish(routes, max_header_bytes=30_000)
+    await asyncio.sleep(3.0)
+    statuses = []
+
+    async def call(to):
+        target, headers, method, body = random_request(random_state)
+        with contextlib.suppress(TimeoutError):  # its process was killed
+            async with asyncio.timeout(3.0):
+                reply = await installation.call(target, method, body, to, **headers)
+                statuses.append(reply.status)
+
+    calls = []
+    for _ in range(150):
+        await asyncio.sleep(random_state.uniform(0.0, 0.05))
+        event = random_state.random()
+        if event < 0.03:
+            installation.kill_gateway("gw-0")
+            await installation.add_gateway("gw-0")
+        elif event < 0.1:
+            more = [installation.route(f"/{n}/") for n in range(50)]
+            installation.publish([*routes, *more], max_header_bytes=30_000)
+        to = random_state.choice(["gw-0", "gw-1"])
+        calls.append(asyncio.ensure_future(call(to)))
+    await asyncio.gather(*calls)
+    assert statuses.count(200) > 75
+    assert not [status for status in statuses if is_denied(status)]
