Keys: a request amid its attempts gets no 401 from a process that is behind

Before each attempt the key of a request is checked again by the configuration in force. If it was gone, the request ended with 401 even if the process knew that a later configuration exists, which may have the key. At the first check such a request gets 503 (BEHIND) already; the later check now does the same.

The new test failed before: 401. The existing test for a process that is current is unchanged but for the set-up, which both now share.

--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -220,7 +220,9 @@
         try:
             call.admission = self.admission.renew(call.request, call.admission)
         except _admission.RejectedError as error:
-            call.rejected_status = error.rejection.status
+            is_outdated = self.board.behind and not error.is_final
+            rejection = _admission.Rejection.BEHIND if is_outdated else error.rejection
+            call.rejected_status = rejection.status
             return False
         return True
 
--- a/boragegw/platform/tests/test_api_keys.py
+++ b/boragegw/platform/tests/test_api_keys.py
@@ -326,8 +326,11 @@
     assert reply.status == 504
 
 
-@in_memory
-async def test_waiting_request_is_not_sent_once_its_key_is_removed():
+async def wait_while_the_key_is_removed(is_behind):
+    """Remove the key of a request that waits for a server; return its response.
+
+    :param is_behind: whether its process then knows that it is behind.
+    """
     installation = await start_installation(
         routes=[route(route_type="unsafe", target_latency_s=1.2)]
     )
@@ -341,10 +344,24 @@
     await asyncio.sleep(0.1)
     installation.publish(ROUTES, accounts=[])
     await asyncio.sleep(0.8)
+    process.follower.check = lambda: None
+    process.board.behind = is_behind
     for backend in installation.backends.values():
         backend.load = "0,0,6,100"
-    assert (await call).status == 401
+    reply = await call
     assert installation.runs() == []
+    return reply
+
+
+@in_memory
+async def test_waiting_request_is_not_sent_once_its_key_is_removed():
+    assert (await wait_while_the_key_is_removed(is_behind=False)).status == 401
+
+
+@in_memory
+async def test_key_removed_during_a_request_gets_503_from_a_process_that_is_behind():
+    """Guards against a 401 amid a request by a configuration that is outdated."""
+    assert (await wait_while_the_key_is_removed(is_behind=True)).status == 503
 
 
 @in_memory
