Callers: one place decides on a head, and one writes refusals for size

The checks of a head stood in a row of ifs in the connection, and two functions refused. _head_checks.head_status now returns the status of a head; _refuse_now alone replaces a 413 or 431 that is not certain.

--- a/boragegw/gateway/_caller_connection.py
+++ b/boragegw/gateway/_caller_connection.py
@@ -5,7 +5,7 @@
 
 import httptools
 
-from boragegw.gateway import _absolute_form, _head_checks, _request, _socket_options
+from boragegw.gateway import _head_checks, _request, _socket_options
 
 #: Requests of one connection that are read ahead while an earlier one is served.
 PIPELINE_LIMIT = 8
@@ -80,7 +80,7 @@
         target = b"" if self._request is None else self._request.target
         limits = self.gateway.limits
         if _head_checks.is_partial_head_oversized(self._head_bytes, target, limits):
-            self._refuse_for_size(431)
+            self._refuse_now(431)
 
     def _parse(self, data):
         """Parse received data.
@@ -169,17 +169,8 @@
         request.keep_alive = self._parser.should_keep_alive()
         self._head_done = True
         self._arm(self.gateway.limits.idle_timeout, self._on_slow_body)
-        if request.method == b"CONNECT" or not _head_checks.is_well_framed(request):
-            self._refuse_now(400)
-            return
-        size_status = _head_checks.size_status(request, self.gateway.limits)
-        if size_status:
-            self._refuse_for_size(size_status)
-            return
-        if not _absolute_form.to_origin_form(request):
-            self._refuse_now(400)
-            return
-        error_status = self._body_memory_error(request)
+        error_status = _head_checks.head_status(request, self.gateway.limits)
+        error_status = error_status or self._body_memory_error(request)
         if _head_checks.has_body(request):
             error_status = error_status or self.gateway.check_head(request)
         if error_status:
@@ -207,7 +198,7 @@
         request = self._request
         size = len(request.body) + len(data)
         if size > self.gateway.limits.body_bytes:
-            self._refuse_for_size(413)
+            self._refuse_now(413)
         elif not self._reserve_body(request, size):
             self._refuse_now(503)
         else:
@@ -368,20 +359,12 @@
         else:
             self._refuse_now(408)
 
-    def _refuse_for_size(self, status):
-        """Refuse an oversized request, with ``status`` only if its limits are in force.
-
-        Guards against a final refusal by limits that the operator has raised, or that
-        are merely the defaults of a process without a configuration.
-        """
-        if self.gateway.limits_final:
-            self._refuse_now(status)
-        else:
-            self._refuse_now(503, RETRY_UNCERTAIN_LIMITS)
-
-    def _refuse_now(self, status, retry_after=None):
+    def _refuse_now(self, status):
         """Refuse the request that is being read, ignore further input, and close.
 
+        Guards against a final refusal for its size by limits that the operator has
+        raised, or that are merely the defaults of a process without a configuration.
+
         Earlier requests are still served first. A refusal sent before their responses
         would be taken for the response to another request.
         """
@@ -393,8 +376,9 @@
         self._discarding_input = True
         self._disarm()
         request.refused_status = status
-        if retry_after is not None:
-            request.retry_after = retry_after
+        if status in _head_checks.SIZE_STATUSES and not self.gateway.limits_final:
+            request.refused_status = 503
+            request.retry_after = RETRY_UNCERTAIN_LIMITS
         request.keep_alive = False
         self._waiting.append(request)
         self._serve_next()
--- a/boragegw/gateway/_head_checks.py
+++ b/boragegw/gateway/_head_checks.py
@@ -1,8 +1,12 @@
 """Checks of a request's head: framing and size."""
 
+from boragegw.gateway import _absolute_form
+
 #: Bytes of a head besides its target and its header fields: a method, the protocol
 #: version and line ends.
 REQUEST_LINE_BYTES = 64
+#: Statuses with which requests over the limits are refused.
+SIZE_STATUSES = frozenset((413, 431))
 
 
 def has_body(request):
@@ -26,6 +30,21 @@
     return b"POST / HTTP/1.1\r\n" + b"\r\n".join(lines) + b"\r\n\r\n"
 
 
+def head_status(request, limits):
+    """Return the status with which to refuse a request because of its head, or 0.
+
+    The target of a request that is not refused is in origin form afterwards.
+
+    :param limits: :class:`~boragegw.balancing.CallerLimits`.
+    """
+    if request.method == b"CONNECT" or not is_well_framed(request):
+        return 400
+    status = size_status(request, limits)
+    if status == 0 and not _absolute_form.to_origin_form(request):
+        return 400
+    return status
+
+
 def is_well_framed(request):
     """Return whether all recipients read the same body and the same host.
 
