--- a/boragegw/gateway/tests/test_proper_requests.py
+++ b/boragegw/gateway/tests/test_proper_requests.py
@@ -203,3 +203,57 @@
     process = stand_in.Process()
     transport = await receive(process, (sent, 0.1))
     assert stand_in.statuses(transport) == expected
+
+
+EARLY_REFUSALS = {
+    400: HEAD + b"content-length: x\r\n\r\n",
+    413: HEAD + b"content-length: 5000\r\n\r\n",
+    431: HEAD + b"x: " + b"y" * 2000 + b"\r\n\r\n",
+    503: HEAD + b"content-length: 900\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("size", [1, 7, 5000])
+@pytest.mark.parametrize("status", EARLY_REFUSALS)
+@in_memory
+async def test_requests_behind_an_early_refusal_get_no_refusal_of_their_own(
+    status, size
+):
+    """Guards against a 4xx for proper requests that follow a refused one."""
+    process = stand_in.Process(header_bytes=1000, body_bytes=1000)
+    process.body_memory.limit = 800
+    process.delay = 0.1
+    connection, transport = stand_in.connect(process)
+    sent = HEAD + b"\r\n" + EARLY_REFUSALS[status] + (HEAD + b"\r\n") * 3
+    for start in range(0, len(sent), size):
+        connection.data_received(sent[start : start + size])
+    await asyncio.sleep(2.0)
+    assert stand_in.statuses(transport) == [200, status]
+    assert len(process.served) == 1
+    assert transport.closed
+
+
+@pytest.mark.parametrize("size", [1, 7, 5000])
+@pytest.mark.parametrize("rest", [b"\r\n", HEAD + b"\r\n", b"\x00nonsense\r\n\r\n"])
+@in_memory
+async def test_bytes_behind_a_closing_request_get_no_answer(rest, size):
+    closing = HEAD + b"connection: close\r\n\r\n"
+    process, transport = await send_in_pieces(closing + rest, size)
+    assert stand_in.statuses(transport) == [200]
+    assert len(process.served) == 1
+
+
+@pytest.mark.parametrize("lost", [False, True])
+@pytest.mark.parametrize("share", [0.2, 0.5, 0.9])
+@in_memory
+async def test_request_that_is_broken_off_gets_no_refusal(share, lost):
+    process = stand_in.Process()
+    connection, transport = stand_in.connect(process)
+    sent = HEAD + b"content-length: 200\r\n\r\n" + b"z" * 200
+    connection.data_received(sent[: int(share * len(sent))])
+    connection.eof_received()
+    if lost:
+        connection.connection_lost(ConnectionResetError())
+    await asyncio.sleep(1.0)
+    assert stand_in.statuses(transport) == []
+    assert process.served == []
