--- a/boragegw/gateway/_caller_connection.py
+++ b/boragegw/gateway/_caller_connection.py
@@ -2,99 +2,25 @@
 
 import asyncio
 import collections
-import dataclasses
 
 import httptools
 
-from boragegw.gateway import _socket_options
+from boragegw.gateway import _head_checks, _request, _socket_options
 
 #: Requests of one connection that are read ahead while an earlier one is served.
 PIPELINE_LIMIT = 8
-#: Bytes of request bodies that this process holds for all callers together. Together
-#: with the responses in flight, this stays well below the 200 MB of the smallest
-#: machines.
-BODY_MEMORY_BYTES = 48 << 20
 #: Seconds without data until which the rest of a refused request is read and discarded.
 #: Closing earlier would reset the connection before the caller has read the refusal.
 LINGER_TIMEOUT = 0.5
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Request:
-    """One complete request of a caller.
-
-    :param method: bytes.
-    :param target: path and query as sent.
-    :param headers: pairs of bytes, names in lower case.
-    :param reserved_bytes: bytes of :class:`BodyMemory` that are reserved for the body.
-    :param arrived: monotonic seconds of the first byte.
-    :param keep_alive: whether the connection stays open after the response.
-    :param refused_status: HTTP status with which the request is refused, or 0.
-    :param retry_after: seconds after which a refused request may be retried, or
-        ``None``.
-    :param admission: the :class:`~boragegw.gateway.Admission` that its head has got, or
-        ``None`` if that is still to be decided.
-    :param disconnected: future that completes when the caller disconnects.
-    :param relay: a :class:`~boragegw.gateway._relay_messages.RelayInfo` if another
-        process relays the request, else ``None``.
-    """
-
-    method: bytes = b""
-    target: bytes = b""
-    headers: list = dataclasses.field(default_factory=list)
-    body: bytearray = dataclasses.field(default_factory=bytearray)
-    reserved_bytes: int = 0
-    arrived: float = 0.0
-    keep_alive: bool = True
-    refused_status: int = 0
-    retry_after: float | None = None
-    admission: object = None
-    disconnected: object = None
-    relay: object = None
-
-    def header(self, name):
-        """Return the first value of ``name`` (bytes in lower case), or ``None``."""
-        for header, value in self.headers:
-            if header == name:
-                return value
-        return None
-
-    @property
-    def caller_gone(self):
-        """Whether the caller has closed its connection."""
-        return self.disconnected.done()
-
-
-class BodyMemory:
-    """Memory budget for the request bodies that this process holds or expects.
-
-    :param limit: maximum bytes.
-    :ivar used_bytes: bytes that are reserved.
-    """
-
-    def __init__(self, limit=BODY_MEMORY_BYTES):
-        self.limit = limit
-        self.used_bytes = 0
-
-    def reserve(self, request, size):
-        """Reserve ``size`` more bytes for a request; return whether they fit."""
-        if self.used_bytes + size > self.limit:
-            return False
-        self.used_bytes += size
-        request.reserved_bytes += size
-        return True
-
-    def release(self, request):
-        """Release the bytes that are reserved for a request."""
-        self.used_bytes -= request.reserved_bytes
-        request.reserved_bytes = 0
+#: Retry-After in seconds for a request over limits that may be outdated.
+RETRY_UNCERTAIN_LIMITS = 0.3
 
 
 class CallerConnection(asyncio.Protocol):
     """One connection of a caller.
 
-    :param gateway: has ``now``, ``limits``, ``stopping``, ``body_memory``,
-        ``check_head(request)``, ``error_response(status, request)``,
+    :param gateway: has ``now``, ``limits``, ``limits_final``, ``stopping``,
+        ``body_memory``, ``check_head(request)``, ``error_response(status, request)``,
         ``log_error(error)`` and the coroutine ``serve(request, writer)``.
     """
 
@@ -115,6 +41,7 @@
         self._disconnected = None
         self._can_write = None
         self._reading_paused = False
+        self._awaits_continue = False
 
     # Callbacks of the transport.
 
@@ -135,17 +62,52 @@
             return
         if not self._head_done:
             self._head_bytes += len(data)
-            if self._request is None:
-                self._arm(self.gateway.limits.header_timeout, self._on_slow_head)
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._parse(data)
+        except httptools.HttpParserCallbackError as error:
+            # Not the caller's fault: a 400 would keep it from trying elsewhere.
+            self.gateway.log_error(error.__context__ or error)
+            self.abort()
+            return
+        except httptools.HttpParserError:
             self._refuse_now(400)
             return
-        too_long = self._head_bytes > self.gateway.limits.header_bytes
-        if not self._head_done and not self._discarding_input and too_long:
+        if not self._head_done and not self._discarding_input:
+            self._check_partial_head()
+        self._ask_for_body()
+
+    def _check_partial_head(self):
+        target = b"" if self._request is None else self._request.target
+        limits = self.gateway.limits
+        if _head_checks.is_partial_head_oversized(self._head_bytes, target, limits):
             self._refuse_now(431)
 
+    def _parse(self, data):
+        """Parse received data.
+
+        The parser stops after a request that offers another protocol. The offer is
+        ignored, as RFC 9110 (7.8) permits, and what follows is parsed as HTTP/1.1.
+        """
+        while data and not self._discarding_input:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                data = data[upgrade.args[0] :]
+                self._restart_parser()
+            else:
+                return
+
+    def _restart_parser(self):
+        """Start another parser, which reads on at the body of the current request.
+
+        The parser that stopped has taken the body for data in the other protocol.
+        """
+        self._parser = httptools.HttpRequestParser(self)
+        if self._request is not None and not self._discarding_input:
+            self._discarding_input = True
+            self._parser.feed_data(_head_checks.framing_head(self._request))
+            self._discarding_input = False
+
     def eof_received(self):
         """Treat a caller that closed its side of the connection as disconnected."""
         self._mark_disconnected()
@@ -178,10 +140,11 @@
         """Start a request."""
         if self._discarding_input:
             return
-        self._request = Request(
+        self._request = _request.Request(
             arrived=self.gateway.now(), disconnected=self._disconnected
         )
         self._head_done = False
+        self._arm(self.gateway.limits.header_timeout, self._on_slow_head)
 
     def on_url(self, url):
         """Append to the target, which may arrive in pieces."""
@@ -189,13 +152,13 @@
             self._request.target += url
 
     def on_header(self, name, value):
-        """Add a header.
+        """Add a header, without the blanks around its value.
 
         Trailers of a chunked body are dropped. They arrive after the head has been
         checked and could replace what the decision was based on.
         """
         if not self._discarding_input and not self._head_done:
-            self._request.headers.append((name.lower(), value))
+            self._request.headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self):
         """Check the head before any of the body is accepted."""
@@ -206,16 +169,17 @@
         request.keep_alive = self._parser.should_keep_alive()
         self._head_done = True
         self._arm(self.gateway.limits.idle_timeout, self._on_slow_body)
-        # The parser stops after a request that changes the protocol.
-        error_status = 400 if self._parser.should_upgrade() else 0
-        error_status = error_status or _head_error(request, self.gateway.limits)
+        error_status = _head_checks.head_status(request, self.gateway.limits)
         error_status = error_status or self._body_memory_error(request)
-        if _has_body(request):
+        if _head_checks.has_body(request):
             error_status = error_status or self.gateway.check_head(request)
         if error_status:
             self._refuse_now(error_status)
-        elif request.header(b"expect") is not None:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            return
+        self._awaits_continue = (
+            _head_checks.expects_continue(request)
+            and self._parser.get_http_version() != "1.0"
+        )
 
     def _body_memory_error(self, request):
         """Reserve memory for the stated body length; return 0, or 503 on failure.
@@ -230,6 +194,7 @@
         """Append to the body within the limits."""
         if self._discarding_input:
             return
+        self._awaits_continue = False
         request = self._request
         size = len(request.body) + len(data)
         if size > self.gateway.limits.body_bytes:
@@ -253,7 +218,10 @@
         """Serve the request, or queue it behind the one in progress."""
         if self._discarding_input:
             return
+        if self._parser.should_upgrade() and _head_checks.has_body(self._request):
+            return  # the next parser reads the body
         request, self._request = self._request, None
+        self._awaits_continue = False
         self._head_done = False
         self._head_bytes = 0
         self._disarm()
@@ -296,8 +264,16 @@
         if not request.keep_alive or self.gateway.stopping or self._disconnected.done():
             self.close()
         else:
-            self._arm(self.gateway.limits.idle_timeout, self._on_idle)
+            if self._request is None:
+                self._arm(self.gateway.limits.idle_timeout, self._on_idle)
             self._serve_next()
+            self._ask_for_body()
+
+    def _ask_for_body(self):
+        """Send 100 Continue to a caller that waits for it, after earlier responses."""
+        if self._awaits_continue and self._task is None and not self._discarding_input:
+            self._awaits_continue = False
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _drop_waiting(self):
         for request in self._waiting:
@@ -371,18 +347,28 @@
             self.close()
 
     def _on_slow_head(self):
-        self._refuse_now(408)
+        self._on_slow_request(self.gateway.limits.header_timeout)
 
     def _on_slow_body(self):
-        self._refuse_now(408)
+        self._on_slow_request(self.gateway.limits.idle_timeout)
+
+    def _on_slow_request(self, timeout):
+        """Refuse a request that arrives too slowly, unless its rest is not awaited."""
+        if self._reading_paused or self._awaits_continue:
+            self._arm(timeout, lambda: self._on_slow_request(timeout))
+        else:
+            self._refuse_now(408)
 
     def _refuse_now(self, status):
         """Refuse the request that is being read, ignore further input, and close.
 
+        Guards against a final refusal for its size by limits that the operator has
+        raised, or that are merely the defaults of a process without a configuration.
+
         Earlier requests are still served first. A refusal sent before their responses
         would be taken for the response to another request.
         """
-        request = self._request or Request(
+        request = self._request or _request.Request(
             arrived=self.gateway.now(), disconnected=self._disconnected
         )
         self._drop_body(request)
@@ -390,6 +376,9 @@
         self._discarding_input = True
         self._disarm()
         request.refused_status = status
+        if status in _head_checks.SIZE_STATUSES and not self.gateway.limits_final:
+            request.refused_status = 503
+            request.retry_after = RETRY_UNCERTAIN_LIMITS
         request.keep_alive = False
         self._waiting.append(request)
         self._serve_next()
@@ -398,40 +387,3 @@
         if not self._disconnected.done():
             self._disconnected.set_result(None)
         self._wake_writers()
-
-
-def _has_body(request):
-    length = request.header(b"content-length") or b"0"
-    return (
-        length.strip(b"0 ") != b"" or request.header(b"transfer-encoding") is not None
-    )
-
-
-def _head_error(request, limits):
-    """Return the status with which to refuse a request because of its head, or 0.
-
-    Guards against request smuggling. A backend server could read a request with two
-    lengths, or with a length and chunked encoding, as two requests. A request with two
-    hosts could be routed by one and served by the other.
-    """
-    lengths = 0
-    encodings = 0
-    hosts = 0
-    for name, value in request.headers:
-        if name == b"host":
-            hosts += 1
-        elif name == b"content-length":
-            lengths += 1
-            if not value.strip().isdigit():
-                return 400
-            if int(value) > limits.body_bytes:
-                return 413
-        elif name == b"transfer-encoding":
-            encodings += 1
-            if value.strip().lower() != b"chunked":
-                return 400
-    if hosts > 1 or lengths > 1 or encodings > 1 or (lengths and encodings):
-        return 400
-    if sum(len(n) + len(v) + 4 for n, v in request.headers) > limits.header_bytes:
-        return 431
-    return 0
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -25,6 +25,7 @@
     _relay,
     _relay_listener,
     _replication,
+    _request,
     _server_selector,
     _source_selector,
 )
@@ -121,7 +122,7 @@
         self.log = log
         self.board = board
         self.connections = set()
-        self.body_memory = _caller_connection.BodyMemory()
+        self.body_memory = _request.BodyMemory()
         self._seeds = settings.seeds
         self._default_limits = balancing.CallerLimits()
         self._listeners = []
@@ -286,6 +287,11 @@
         configuration = self.board.configuration
         return self._default_limits if configuration is None else configuration.limits
 
+    @property
+    def limits_final(self):
+        """Whether no other limits may be in force, as far as this process knows."""
+        return self.board.configuration is not None and not self.board.behind
+
     @property
     def stopping(self):
         """Whether a graceful shutdown has begun."""
--- a/boragegw/gateway/_relay_listener.py
+++ b/boragegw/gateway/_relay_listener.py
@@ -42,6 +42,11 @@
             self._limits_of = limits
         return self._limits
 
+    @property
+    def limits_final(self):
+        """Whether a request over the limits is refused for good."""
+        return self.gateway.limits_final
+
     @property
     def stopping(self):
         """Whether a graceful shutdown has begun."""
--- a/boragegw/platform/_schemas.py
+++ b/boragegw/platform/_schemas.py
@@ -20,6 +20,10 @@
     "rate_per_s": 1.0,
     "burst": 0.0,
 }
+#: Values that replace invalid limits. The default of a missing limit could refuse for
+#: good what the writer permits. Bodies stay within the memory of the process.
+PERMISSIVE_VALUES = {"max_header_bytes": 256 << 10, "max_body_bytes": 1 << 40}
+REPLACEMENT_VALUES = CONSERVATIVE_VALUES | PERMISSIVE_VALUES
 
 NonNegativeFloat = typing.Annotated[float, msgspec.Meta(ge=0)]
 PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0)]
@@ -29,6 +33,7 @@
     str, msgspec.Meta(pattern=r"^[\x21-\x7e]+\Z", max_length=accounts.MAX_KEY_BYTES)
 ]
 PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
+PathPrefix = typing.Annotated[str, msgspec.Meta(pattern=r"^/(.*/)?\Z")]
 
 
 class WireWeightedService(msgspec.Struct):
@@ -42,7 +47,7 @@
     """A route; ``route_type`` determines whether its requests may be retried."""
 
     host: str
-    prefix: str
+    prefix: PathPrefix
     name: str = ""
     route_type: str = ""
     timeout_s: PositiveFloat = DEFAULT_TIMEOUT
@@ -54,6 +59,12 @@
     anonymous: bool = False
 
 
+class WireRouteHost(msgspec.Struct):
+    """The host of a route whose other fields cannot be read."""
+
+    host: str
+
+
 class WireService(msgspec.Struct):
     """A service; ``max_conns`` limits all callers' connections to one server."""
 
@@ -168,13 +179,14 @@
                     return None
                 continue
             try:
-                values[field.name] = msgspec.convert(fields[field.name], field.type)
+                value = _whole_number(fields[field.name])
+                values[field.name] = msgspec.convert(value, field.type)
             except msgspec.ValidationError as error:
                 self._log_unreadable(part_type, label, field.name, error)
                 if field.required:
                     return None
-                if field.name in CONSERVATIVE_VALUES:
-                    values[field.name] = CONSERVATIVE_VALUES[field.name]
+                if field.name in REPLACEMENT_VALUES:
+                    values[field.name] = REPLACEMENT_VALUES[field.name]
         return part_type(**values)
 
     def _log_unreadable(self, part_type, label, field, reason):
@@ -185,3 +197,9 @@
             field=field,
             reason=str(reason),
         )
+
+
+def _whole_number(value):
+    """Return a float without a fraction as ``int``, and any other value as it is."""
+    is_whole = isinstance(value, float) and value.is_integer()
+    return int(value) if is_whole else value
