Follower: a process that has lost the store regains it while it follows another

Of each data centre, the process that comes first now checks a lost store once a second by the small question of the confirmations, and regains it.

--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -22,6 +22,10 @@
 #: probe the store, and for all others.
 PROBER_RETRY_SECONDS = 0.4
 RETRY_SECONDS = 1.5
+#: Mean seconds between checks whether a lost store answers again, and seconds until the
+#: answer must begin.
+REGAIN_SECONDS = 1.0
+REGAIN_TIMEOUT_SECONDS = 1.0
 #: Consecutive failures after which the store is considered lost, and the longest pause
 #: in seconds before the first retry.
 MAX_STORE_FAILURES = 2
@@ -222,13 +226,33 @@
         if name is not None:
             return
         self._store_failures = 0
-        own = self.membership.local_member
-        if not own.reads_store:
-            own.reads_store = True
-            own.watches_store = True
-            self.catalogue.store_failure_at = self.now()
-            self.log.event("store-regained", position=self.catalogue.position)
-            self.membership.announce()
+        if not self.membership.local_member.reads_store:
+            self.membership.local_member.watches_store = True
+            self._handle_regained_store()
+
+    def _handle_regained_store(self):
+        self.membership.local_member.reads_store = True
+        self.catalogue.store_failure_at = self.now()
+        self.log.event("store-regained", position=self.catalogue.position)
+        self.membership.announce()
+
+    async def regain_store(self):
+        """Check forever whether the store answers again after it was lost."""
+        while True:
+            share = 0.6 + 0.8 * self.random_state.random()
+            await asyncio.sleep(REGAIN_SECONDS * share)
+            if not self._selector.should_regain_store():
+                continue
+            try:
+                await self.store.confirm(REGAIN_TIMEOUT_SECONDS)
+            except _sources.SourceError as error:
+                self.log.event(
+                    "store-read-failed", reason=str(error), received=error.received
+                )
+                continue
+            if not self.membership.local_member.reads_store:
+                self._store_failures = 0
+                self._handle_regained_store()
 
     async def _back_off_after_lost_history(self):
         """Back off exponentially if the history is lost again after a full read.
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -354,6 +354,7 @@
         self.log.event("start", incarnation=self.local_member.incarnation)
         self.membership.tick()
         self._start_task(self.follower.run())
+        self._start_task(self.follower.regain_store())
         self._start_task(self.reconciler.run())
         self._start_task(
             self._run_periodically(
--- a/boragegw/gateway/_source_selector.py
+++ b/boragegw/gateway/_source_selector.py
@@ -68,6 +68,16 @@
         """Return whether this process probes the store while no process can read it."""
         return self.membership.local_member.name in self._store_probers()
 
+    def should_regain_store(self):
+        """Return whether this process has lost the store and should try it again.
+
+        Guards against watchers that dwindle: of the processes that have lost the store
+        one after the other, none would notice that it answers them again as long as
+        any process can be followed.
+        """
+        own = self.membership.local_member
+        return not own.reads_store and own.name in self._store_probers()
+
     def should_watch(self):
         """Return whether this process should watch the store for its data centre.
 
