Platform: tests of what holds for requests in partitions

The network reports each write to observers, by which the tests see hops between processes; a backend server records arrivals, refused ones included.

--- a/boragegw/standins/_directory_callers.py
+++ b/boragegw/standins/_directory_callers.py
@@ -53,6 +53,8 @@
     :param process: name of the gateway process.
     :param status: HTTP status; 0 without a response.
     :param served: whether the whole response of the backend server came in time.
+    :param deadline_ms: deadline that the caller sent.
+    :param retry_after: seconds of ``Retry-After``; 0 without.
     """
 
     request_id: str
@@ -63,6 +65,19 @@
     seconds: float
     status: int
     served: bool
+    deadline_ms: int
+    retry_after: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resolution:
+    """A response of the directory.
+
+    :param ttl: seconds for which the addresses may be kept.
+    """
+
+    addresses: list
+    ttl: float
 
 
 class _Caller:
@@ -123,11 +138,13 @@
             return
         loop = asyncio.get_running_loop()
         deadline_at = loop.time() + kind.deadline
-        first, retry_after = await self._attempt(kind, caller.addresses, 0, deadline_at)
+        first = await self._attempt(kind, caller.addresses, 0, deadline_at)
         if not self._may_retry(first):
             return
         remaining = deadline_at - loop.time()
-        await asyncio.sleep(max(0.0, min(retry_after, remaining * RETRY_WAIT_SHARE)))
+        await asyncio.sleep(
+            max(0.0, min(first.retry_after, remaining * RETRY_WAIT_SHARE))
+        )
         others = [a for a in caller.addresses if a != _address_of(first.process)]
         if others and loop.time() < deadline_at - 0.01:
             await self._attempt(kind, others, 1, deadline_at)
@@ -138,17 +155,14 @@
         return attempt.kind.idempotent or attempt.status in NOT_RUN_STATUSES
 
     async def _attempt(self, kind, addresses, number, deadline_at):
-        """Return the :class:`Attempt` and the seconds of its ``Retry-After``."""
         loop = asyncio.get_running_loop()
         self._request_count += 1
         request_id = f"request-{self._request_count}"
         address = self.random_state.choice(addresses)
         process, _, port = address.rpartition(":")
         remaining = deadline_at - loop.time()
-        headers = {
-            "x-request-id": request_id,
-            "x-deadline-ms": str(round(1000 * remaining)),
-        }
+        deadline_ms = round(1000 * remaining)
+        headers = {"x-request-id": request_id, "x-deadline-ms": str(deadline_ms)}
         method, body = ("GET", b"") if kind.idempotent else ("POST", b"a" * 300)
         sent_at = loop.time()
         try:
@@ -172,20 +186,22 @@
             loop.time() - sent_at,
             response.status,
             response.status == 200 and signature == f"sig-{request_id}",
+            deadline_ms,
+            float(response.headers.get("retry-after", "0")),
         )
         self.attempts.append(attempt)
-        return attempt, float(response.headers.get("retry-after", "0.05"))
+        return attempt
 
     async def _refresh_addresses(self, caller):
         loop = asyncio.get_running_loop()
         if loop.time() < caller.valid_until:
             return
         for process in self._directories(caller.data_centre):
-            resolution = await self._resolve(process, caller.data_centre)
+            resolution = await self.resolve(process, caller.data_centre)
             if resolution is not None:
                 factor = PATIENT_FACTOR if caller.patient else 1.0
-                caller.addresses = resolution["addresses"]
-                caller.valid_until = loop.time() + factor * resolution["ttl_s"]
+                caller.addresses = resolution.addresses
+                caller.valid_until = loop.time() + factor * resolution.ttl
                 return
 
     def _directories(self, data_centre):
@@ -194,8 +210,8 @@
         names.sort(key=lambda name: self.data_centres[name] != data_centre)
         return names[:DIRECTORY_ATTEMPTS]
 
-    async def _resolve(self, process, data_centre):
-        """Return the addresses and their TTL, or ``None``."""
+    async def resolve(self, process, data_centre):
+        """Return the :class:`Resolution` of a directory, or ``None``."""
         target = f"/v1/resolve?name={_wire_installation.HOST_NAME}&zone={data_centre}"
         try:
             async with asyncio.timeout(DIRECTORY_TIMEOUT_SECONDS):
@@ -204,7 +220,10 @@
                 )
         except TimeoutError:
             return None
-        return json.loads(response.body) if response.status == 200 else None
+        if response.status != 200:
+            return None
+        body = json.loads(response.body)
+        return Resolution(body["addresses"], body["ttl_s"])
 
 
 def _address_of(process):
--- a/boragegw/standins/_memory_network.py
+++ b/boragegw/standins/_memory_network.py
@@ -72,6 +72,8 @@
     def write(self, data):
         """Send bytes to the peer."""
         if not self._closing:
+            for observe in self.loop.network.observers:
+                observe(self.local, self.remote, data)
             self._transmit("data", bytes(data))
 
     def can_write_eof(self):
@@ -203,6 +205,7 @@
     """Connections, listeners, datagram endpoints and injected network faults.
 
     :param delay: one-way delay in seconds.
+    :ivar observers: called with (source, target, data) of each write of a connection.
     """
 
     def __init__(self, loop, delay=DELAY_SECONDS):
@@ -211,6 +214,7 @@
         self.listeners = {}
         self.datagrams = {}
         self.connections = []
+        self.observers = []
         self._cuts = set()
         self._partitions = []
         self._outgoing = {}
--- a/boragegw/standins/_wire_backend.py
+++ b/boragegw/standins/_wire_backend.py
@@ -49,6 +49,7 @@
     :param load: text of its load reports; it sends none if the text is empty.
     :param handshake_seconds: seconds that accepting a connection takes.
     :ivar runs: (request id, target, body) of each request that was run.
+    :ivar arrivals: (seconds, request id) of each request but those for another server.
     :ivar probes: number of health checks received.
     :ivar cancelled: ids of requests whose run was cancelled.
     :ivar heads: pairs of name and value of each request that was run, by its id.
@@ -72,6 +73,7 @@
         self.body = b"answer of " + identity.encode()
         self.faults = WireFaults()
         self.runs = []
+        self.arrivals = []
         self.probes = 0
         self.cancelled = []
         self.deadlines = {}
@@ -196,6 +198,7 @@
         if expected and expected != backend.identity:
             self._respond(421, [*id_header, ("x-instance-id", backend.identity)], b"")
             return
+        backend.arrivals.append((asyncio.get_running_loop().time(), request_id))
         if faults.reset_before_run:
             self.transport.abort()
             return
