Gateway: the user timeout follows from the keep-alive options

Nothing that callers saw; found by listing our connections after the users' new line: a set TCP_USER_TIMEOUT decides when keep-alive probes give up, whatever their count.

Cause: the count of probes (2) and the user timeout (2,500 ms) were independent numbers. The comment derived the detection after 3 s from the count, which has no effect while a user timeout is set. Both gave 3 s by chance.

The user timeout is now computed from idle time, interval and count: half an interval before the moment at which the count gives up, so that both select the same probe. Its value is 2,500 ms as before.

--- a/boragegw/gateway/_socket_options.py
+++ b/boragegw/gateway/_socket_options.py
@@ -3,13 +3,17 @@
 import socket
 
 #: Seconds without data before the first keep-alive probe, seconds between probes, and
-#: number of probes. A connection that a middlebox has dropped is detected after 3 s,
-#: which is also the time after which a machine counts as reachable again.
+#: number of probes that may stay unanswered.
 KEEPALIVE_IDLE = 1
 KEEPALIVE_INTERVAL = 1
 KEEPALIVE_PROBES = 2
-#: Milliseconds for which sent data may stay unacknowledged.
-USER_TIMEOUT_MS = 2500
+#: Seconds of silence after which a connection without unacknowledged data is closed.
+DETECTION_SECONDS = KEEPALIVE_IDLE + KEEPALIVE_PROBES * KEEPALIVE_INTERVAL
+#: Milliseconds for which sent data may stay unacknowledged. With a user timeout, Linux
+#: ignores the number of probes: it closes a silent connection when the next probe is
+#: due and the silence has lasted for the user timeout. Half an interval less than the
+#: detection time selects the same moment as the number of probes does.
+USER_TIMEOUT_MS = round(1000 * (DETECTION_SECONDS - KEEPALIVE_INTERVAL / 2))
 
 
 def enable_keepalive(transport):
