--- a/boragegw/platform/tests/test_partitioned_from_servers.py
+++ b/boragegw/platform/tests/test_partitioned_from_servers.py
@@ -42,3 +42,15 @@
     await fleet.partition(SETS["data-centre"], mode, 10.0)
     await load
     partitioned_fleet.assert_partitioned_processes_are_served(fleet)
+
+
+@modes
+@in_memory
+async def test_callers_that_keep_addresses_long_are_served_in_a_cut(mode):
+    """All callers keep the addresses of eight cut processes for 9 s."""
+    fleet = await partitioned_fleet.Fleet.start(patient_share=1.0)
+    load = asyncio.create_task(fleet.callers.run(3.0 + PARTITION_SECONDS))
+    await asyncio.sleep(2.0)
+    await fleet.partition(SETS["eight"], mode, PARTITION_SECONDS)
+    await load
+    partitioned_fleet.assert_partitioned_processes_are_served(fleet)
