Platform: tests of processes that stop or are out of reach in a partition

Of the same fault (RECOVER): a request that a partitioned process has handed over must be answered when either process is told to stop, and requests must be served when one of the two other processes cannot be reached either.

--- a/boragegw/platform/tests/test_requests_in_partitions.py
+++ b/boragegw/platform/tests/test_requests_in_partitions.py
@@ -354,6 +354,37 @@
     assert [response.status for response in responses] == [200] * 20
 
 
+@pytest.mark.parametrize("stopped", ["gw-0", "gw-1"])
+@pytest.mark.parametrize("route_type", ["safe", "unsafe"])
+@in_memory
+async def test_stop_of_either_process_cuts_off_no_request_that_was_handed_over(
+    route_type, stopped
+):
+    """A process that was told to stop closed the connection of a handed-over one."""
+    world = await start_small(gateways=2, route_type=route_type)
+    for backend in world.backends.values():
+        backend.service_seconds = 0.8
+    method, body = ("POST", b"1") if route_type == "unsafe" else ("GET", b"")
+    call = asyncio.create_task(world.call("/held", method, body, to="gw-1"))
+    await asyncio.sleep(0.2)
+    assert world.runs("/held")
+    stopping = asyncio.create_task(world.processes[stopped].stop())
+    response = await call
+    assert response.status == 200
+    await stopping
+
+
+@modes
+@in_memory
+async def test_requests_are_served_if_one_of_two_other_processes_is_out_of_reach(mode):
+    """Requests were handed only to a process that could not be reached either."""
+    world = await start_small(gateways=3)
+    world.network.partition(["gw-1"], ["gw-0"], mode)
+    await asyncio.sleep(CONTACT_SECONDS)
+    responses = [await world.call(f"/{number}", to="gw-1") for number in range(20)]
+    assert [response.status for response in responses] == [200] * 20
+
+
 @in_memory
 async def test_refused_request_of_a_partitioned_process_has_not_run():
     """The servers are full: gw-0 takes a request and cannot place it any more."""
