Reachability: a request that nobody can serve is refused at once

With all processes cut from the servers and packets lost, a refusal took 0.252 s in the median: each request waited for connections to time out although several checks had just reached no server, and no other process was left to relay to. Such a service is no longer searched. While single servers are still reached it is, since they may have room.

--- a/boragegw/balancing/_reachability.py
+++ b/boragegw/balancing/_reachability.py
@@ -21,12 +21,14 @@
     :param silent: the same of the servers that did not answer on an open connection.
     :param is_lost: whether the service counts as out of reach.
     :param checked_at: monotonic seconds of the latest check.
+    :param reached_at: monotonic seconds at which a server was last reached.
     """
 
     failed: dict = dataclasses.field(default_factory=dict)
     silent: dict = dataclasses.field(default_factory=dict)
     is_lost: bool = False
     checked_at: float = -math.inf
+    reached_at: float = -math.inf
 
 
 class ReachabilityPolicy(utils.Parameterized):
@@ -39,6 +41,8 @@
     :param memory: seconds after which a failure no longer counts.
     :param check_interval: seconds between two checks of the same service.
     :param check_size: number of servers to which a check opens connections.
+    :param unreached_checks: number of checks without success after which no server is
+        searched for any more.
     :param regained_share: least share of these that must accept for a lost service to
         count as reached again. Guards against a process that still reaches one server
         of many: it would send its requests there and lose the service again.
@@ -50,6 +54,7 @@
         "memory": utils.Interval(float, 0.1, 60),
         "check_interval": utils.Interval(float, 0.01, 60),
         "check_size": utils.Interval(int, 1, 64),
+        "unreached_checks": utils.Interval(int, 1, 100),
         "regained_share": utils.Interval(float, 0, 1),
     }
 
@@ -60,6 +65,7 @@
         memory=3.0,
         check_interval=0.3,
         check_size=4,
+        unreached_checks=3,
         regained_share=0.5,
     ):
         self.lost_after = lost_after
@@ -67,15 +73,26 @@
         self.memory = memory
         self.check_interval = check_interval
         self.check_size = check_size
+        self.unreached_checks = unreached_checks
         self.regained_share = regained_share
 
-    def observe_reached(self, reach):
+    def observe_reached(self, reach, now):
         """Record that a server accepted a connection or responded.
 
         A lost service is regained by a check only.
         """
         reach.failed.clear()
         reach.silent.clear()
+        reach.reached_at = now
+
+    def reaches_none(self, reach, now):
+        """Return whether the service is lost and several checks reached no server.
+
+        A request for it is then refused without a search. As long as some servers are
+        reached, they are worth a search, although the service counts as lost.
+        """
+        checked_for = self.unreached_checks * self.check_interval
+        return reach.is_lost and now > reach.reached_at + checked_for
 
     def observe_failed(self, reach, identity, servers, now):
         """Record that a server accepted no connection.
--- a/boragegw/balancing/tests/test_reachability.py
+++ b/boragegw/balancing/tests/test_reachability.py
@@ -33,7 +33,7 @@
     policy, reach, servers = make(lost_after=4)
     for identity in "abcdefgh":
         fail(policy, reach, servers, identity)
-        policy.observe_reached(reach)
+        policy.observe_reached(reach, 0.0)
     assert not reach.is_lost
 
 
@@ -65,7 +65,7 @@
 def test_service_with_one_server_in_reach_of_many_stays_lost():
     policy, reach, servers = make(regained_share=0.5)
     fail(policy, reach, servers, "abcd")
-    policy.observe_reached(reach)
+    policy.observe_reached(reach, 0.0)
     assert not policy.observe_check(reach, 1, 4)
     assert reach.is_lost
     assert policy.observe_check(reach, 2, 4)
@@ -84,3 +84,14 @@
     chosen = policy.choose_servers(list("abcdefgh"), random.Random(1))
     assert len(set(chosen)) == 4
     assert policy.choose_servers(["a"], random.Random(1)) == ["a"]
+
+
+def test_lost_service_is_searched_until_several_checks_have_reached_none():
+    policy, reach, servers = make(check_interval=0.3, unreached_checks=3)
+    policy.observe_reached(reach, 10.0)
+    assert not policy.reaches_none(reach, 20.0)
+    fail(policy, reach, servers, "abcd", now=10.1)
+    assert not policy.reaches_none(reach, 10.5)
+    assert policy.reaches_none(reach, 11.0)
+    policy.observe_reached(reach, 11.1)
+    assert not policy.reaches_none(reach, 11.2)
--- a/boragegw/gateway/_reach_monitor.py
+++ b/boragegw/gateway/_reach_monitor.py
@@ -40,6 +40,11 @@
         reach = self._services.get(service_name)
         return reach is not None and reach.is_lost
 
+    def reaches_none(self, service_name):
+        """Return whether a search for a server of the service would be in vain."""
+        reach = self._services.get(service_name)
+        return reach is not None and self.policy.reaches_none(reach, self.now())
+
     @staticmethod
     def service_id(service_name):
         """Return the 32-bit number that stands for a service among the processes."""
@@ -79,7 +84,7 @@
 
     def observe_reached(self, server):
         """Record a response of a server."""
-        self.policy.observe_reached(self._reach(server))
+        self.policy.observe_reached(self._reach(server), self.now())
 
     def observe_silence(self, server):
         """Record that a server did not answer on a connection that was open before."""
--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -32,6 +32,8 @@
 #: 1.1 s left. All of them timed out, while a refusal would have let the caller retry on
 #: another server.
 SLOW_SERVER_TIME_SHARE = 0.7
+#: Reason of a refusal while the service is out of reach.
+UNREACHED = "no server reached"
 
 
 class Sender:
@@ -85,6 +87,8 @@
             outcome = await self.relay.send(call)
             if outcome is not None:
                 return outcome
+        if self.selector.reach.reaches_none(call.service.name):
+            return _call.AttemptOutcome(Verdict.NOT_RUN, reason=UNREACHED)
         for _ in range(MAX_SELECTIONS):
             selection = await self._select_server(call, hedge)
             if selection is None:
@@ -133,7 +137,7 @@
         if outcome is not None:
             return outcome
         is_lost = self.selector.reach.is_lost(call.service.name)
-        reason = "no server reached" if is_lost else "no room"
+        reason = UNREACHED if is_lost else "no room"
         return _call.AttemptOutcome(Verdict.NOT_RUN, reason=reason)
 
     async def _select_server(self, call, hedge):
