Allotments: a new process reports the requests of its start

Cause: a process that sees no other one forgets its counts at each tick. A new process sees no other one for some tenths of a second, so the first requests of the outage's callers were counted by nobody, and the account's owners then gave out its tokens once more. A new process now keeps its counts until it sees the others, for at most the two seconds of the discovery. Counts of a longer isolation are forgotten as before.

--- a/boragegw/balancing/_admitted_shares.py
+++ b/boragegw/balancing/_admitted_shares.py
@@ -47,7 +47,8 @@
     they allow, they tell all processes what share of its requests to admit. An account
     within its limit causes no waiting and is not refused, however its requests are
     spread over the processes. No process admits more than the whole limit by itself,
-    and one that sees no other one has an equal share of it.
+    and one that sees no other one has an equal share of it. One that has just started
+    reports its first requests as soon as it sees the owners.
 
     Answers an account at many times its usual load, with hundreds of processes that
     each get few of its requests.
@@ -81,6 +82,7 @@
         self._shares = {}
         self._credits = {}
         self._sequence = 0
+        self._has_seen_others = False
 
     def _initial_tokens(self):
         return self.tolerance_share * self.slack
@@ -88,6 +90,7 @@
     def admit(self, account, fleet, now, random_state):
         """Admit all, or the share that the account's owners have told."""
         self._check_params()
+        self._observe(fleet)
         key = _allotments.account_id(account.name)
         decision = self._decide(account, key, fleet, now, random_state)
         weight = _report_weight(account)
@@ -95,6 +98,9 @@
             self._count(key, weight, weight * decision.is_admitted)
         return decision
 
+    def _observe(self, fleet):
+        self._has_seen_others = self._has_seen_others or not fleet.is_alone
+
     def _count(self, key, offered, admitted):
         """Count requests to be reported to the owners of their account."""
         usage = self._usages.setdefault(key, _Usage())
@@ -181,8 +187,9 @@
 
     def take_messages(self, fleet, now):
         """Return reports to the owners of accounts, and notices as an owner."""
+        self._observe(fleet)
         if fleet.is_alone:
-            self._forget_counts()
+            self._forget_counts(now)
             return []
         messages = self._take_reports(fleet, now)
         items = self._ledger.due_items(fleet.visible_share, now)
@@ -225,11 +232,15 @@
             owners = self._owners[key] = owners_of(key, fleet)
         return owners
 
-    def _forget_counts(self):
+    def _forget_counts(self, now):
         """Forget what was counted while no other process was in sight.
 
-        It says nothing about the accounts' requests to all processes.
+        It says nothing about the accounts' requests to all processes. A new process is
+        about to see the others and keeps its counts for the owners.
         """
+        is_new = now < self.started_at + _allotments.DISCOVERY_SECONDS
+        if is_new and not self._has_seen_others:
+            return
         self._ledger.clear()
         self._usages.clear()
         self._due.clear()
--- a/boragegw/balancing/tests/test_allotments.py
+++ b/boragegw/balancing/tests/test_allotments.py
@@ -154,6 +154,28 @@
     assert worst_window(fleet) <= 1.0
 
 
+FEW_IN_SIGHT = balancing.FleetView("gw-0", {"gw-0": "dc-a", "gw-1": "dc-b"}, 24)
+
+
+def test_new_process_reports_its_first_requests_when_it_sees_the_owners():
+    """Forgotten, they would be admitted once more after the start."""
+    policy = balancing.AdmittedShares()
+    alone = balancing.FleetView("gw-0", {"gw-0": "dc-a"}, 24)
+    admit(policy, 10, fleet=alone)
+    outgoing = policy.take_messages(FEW_IN_SIGHT, 0.1)
+    reports = [o.message for o in outgoing if o.target is not None]
+    assert sum(item.offered for r in reports for item in r.items) == 10
+
+
+def test_counts_of_a_lasting_isolation_are_forgotten():
+    """They say nothing about the requests to the processes that were out of sight."""
+    policy = balancing.AdmittedShares()
+    alone = balancing.FleetView("gw-0", {"gw-0": "dc-a"}, 24)
+    admit(policy, 10, fleet=alone)
+    policy.take_messages(alone, 3.0)
+    assert not policy.take_messages(FEW_IN_SIGHT, 3.1)
+
+
 @pytest.mark.parametrize("size", [13, 117])
 def test_hot_account_can_use_its_limit(size):
     assert allotments.hot_use(run(allotments.hot_accounts, size)) >= LEAST_USE
