Allotments: a new process admits only first requests until shares can be known

A process that does not see the whole fleet at its first request now admits only a first request of each account, for 0.4 s (report, owner, notice). The probability of the first one shares what the requests before the outage have left of the bound among the requests that may come before any is counted, or among the processes that they may reach. It replaces a fixed 0.6, which let the middle accounts through (a few requests a second; each process gets one). A refused caller is told to return when the share can be known, not at once to the next new process. Who sees the whole fleet at once is not limited.

Not tried: holding the first requests until an owner has told, which would refuse nobody, but needs a waiting admission.

--- a/boragegw/balancing/_admitted_shares.py
+++ b/boragegw/balancing/_admitted_shares.py
@@ -8,6 +8,9 @@
 #: Seconds for which a share is valid that is not confirmed. Owners that have died are
 #: replaced within 2 s.
 SHARE_SECONDS = 3.0
+#: Seconds in which a new process that does not see the whole fleet cannot know the
+#: shares: its first reports and the owners' notices are under way.
+START_SECONDS = 0.4
 #: Requests per second that are reported to the owner of an account at its limit. Beyond
 #: it, a random sample is reported, each for several requests.
 REPORTS_PER_SECOND = 200.0
@@ -48,10 +51,11 @@
     within its limit causes no waiting and is not refused, however its requests are
     spread over the processes. No process admits more than the whole limit by itself,
     and one that sees no other one has an equal share of it. One that has just started
-    reports its first requests as soon as it sees the owners.
+    admits only first requests, and reports them as soon as it sees the owners.
 
     Answers an account at many times its usual load, with hundreds of processes that
-    each get few of its requests.
+    each get few of its requests, also when all of them start at once and the callers
+    of their outage come back before an owner can have counted them.
 
     :param started_at: monotonic seconds of the start of the process.
     :param incarnation: number of this start of the process.
@@ -82,6 +86,8 @@
         self._shares = {}
         self._credits = {}
         self._sequence = 0
+        self._opened_at = None
+        self._opened_blind = False
         self._has_seen_others = False
 
     def _initial_tokens(self):
@@ -90,7 +96,7 @@
     def admit(self, account, fleet, now, random_state):
         """Admit all, or the share that the account's owners have told."""
         self._check_params()
-        self._observe(fleet)
+        self._observe(fleet, now)
         key = _allotments.account_id(account.name)
         decision = self._decide(account, key, fleet, now, random_state)
         weight = _report_weight(account)
@@ -98,8 +104,16 @@
             self._count(key, weight, weight * decision.is_admitted)
         return decision
 
-    def _observe(self, fleet):
-        self._has_seen_others = self._has_seen_others or not fleet.is_alone
+    def _observe(self, fleet, now):
+        """Note when the process began, and whether it saw the whole fleet then."""
+        if self._opened_at is None:
+            self._opened_at = now
+            self._opened_blind = fleet.visible_share < 1.0
+        if fleet.is_alone:
+            return
+        self._has_seen_others = True
+        if not self._is_starting(now):
+            self._alone = None
 
     def _count(self, key, offered, admitted):
         """Count requests to be reported to the owners of their account."""
@@ -109,12 +123,16 @@
         self._due.add(key)
 
     def _decide(self, account, key, fleet, now, random_state):
+        share = None if fleet.is_alone else self._lowest_share(key, now)
+        if share is not None:
+            return self._admit_share(account, key, share, now, random_state)
+        if self._is_starting(now):
+            return self._decide_at_start(account, fleet, now, random_state)
         if fleet.is_alone:
             return self._decide_alone(account, fleet, now, random_state)
-        self._alone = None
-        share = self._lowest_share(key, now)
-        if share is None:
-            return self._admit_within_whole_limit(account, now, random_state)
+        return self._admit_within_whole_limit(account, now, random_state)
+
+    def _admit_share(self, account, key, share, now, random_state):
         credit = self._credits.get(key)
         credit = random_state.random() if credit is None else credit
         credit += share.share
@@ -144,9 +162,21 @@
 
     def _decide_alone(self, account, fleet, now, random_state):
         if self._alone is None:
-            self._alone = self._make_local_policy(self.started_at)
+            self._alone = self._make_local_policy(self._opened_at)
         return self._alone.admit(account, fleet, now, random_state)
 
+    def _is_starting(self, now):
+        return self._opened_blind and now < self._opened_at + START_SECONDS
+
+    def _decide_at_start(self, account, fleet, now, random_state):
+        """Admit first requests; the others may return when the share can be known."""
+        decision = self._decide_alone(account, fleet, now, random_state)
+        if decision.is_admitted:
+            return decision
+        rest = self._opened_at + START_SECONDS - now
+        wait = max(_allotments.MIN_RETRY_AFTER, rest)
+        return dataclasses.replace(decision, retry_after=wait)
+
     def _lowest_share(self, key, now):
         """Return the lowest valid share that an owner has told, or ``None``."""
         told = self._shares.get(key)
@@ -187,7 +217,7 @@
 
     def take_messages(self, fleet, now):
         """Return reports to the owners of accounts, and notices as an owner."""
-        self._observe(fleet)
+        self._observe(fleet, now)
         if fleet.is_alone:
             self._forget_counts(now)
             return []
@@ -238,7 +268,7 @@
         It says nothing about the accounts' requests to all processes. A new process is
         about to see the others and keeps its counts for the owners.
         """
-        is_new = now < self.started_at + _allotments.DISCOVERY_SECONDS
+        is_new = now < self._opened_at + _allotments.DISCOVERY_SECONDS
         if is_new and not self._has_seen_others:
             return
         self._ledger.clear()
--- a/boragegw/balancing/_allotments.py
+++ b/boragegw/balancing/_allotments.py
@@ -11,9 +11,13 @@
 MIN_RETRY_AFTER = 0.05
 MAX_RETRY_AFTER = 5.0
 #: Seconds after its start in which a process does not know the size of the fleet, and
-#: share of the first requests that it admits then of those that others would admit.
+#: the size that it assumes at least.
 DISCOVERY_SECONDS = 2.0
-NEW_PROCESS_SHARE = 0.6
+NEW_FLEET_SIZE = 240
+#: Seconds of the shortest outage of all processes, and seconds whose requests come to
+#: new processes together with those of their outage before any of them is counted.
+SHORTEST_OUTAGE_SECONDS = 0.8
+RETURN_SECONDS = 2.0
 #: Share of the processes that may be cut off from the others at the same time, and
 #: multiple of its rate that an account may send then.
 ISOLATED_SHARE = 1 / 3
@@ -235,10 +239,11 @@
         self._check_params()
         rate = account.rate / fleet.processes
         share = self.capacity(account) / fleet.processes
-        first = self._first_probability(account, fleet)
         if fleet.processes > 1 and self._is_new(now):
             rate = share = 0.0
-            first *= NEW_PROCESS_SHARE
+            first = self._new_probability(account, fleet)
+        else:
+            first = self._first_probability(account, fleet)
         bucket = self._buckets.get(account.name)
         if bucket is None:
             tokens = share + first + random_state.random()
@@ -263,6 +268,19 @@
         tokens = self.first_share * self.tolerance(account)
         return min(self.max_first, tokens / reached)
 
+    def _new_probability(self, account, fleet):
+        """Return the probability that a new process admits the first request.
+
+        After a restart of all processes, the callers of the outage reach many of them
+        before any request is counted. Those that are admitted keep within what the
+        requests before the outage have left of the bound.
+        """
+        left = (1.0 - self.tolerance_share) * self.tolerance(account)
+        left += account.rate * SHORTEST_OUTAGE_SECONDS
+        asked = HOT_FACTOR * account.rate * RETURN_SECONDS
+        reached = min(asked, max(fleet.processes, NEW_FLEET_SIZE))
+        return min(1.0, left / max(1.0, reached))
+
     def _is_new(self, now):
         return self.started_at is not None and now < self.started_at + DISCOVERY_SECONDS
 
--- a/boragegw/balancing/tests/test_allotments.py
+++ b/boragegw/balancing/tests/test_allotments.py
@@ -154,7 +154,56 @@
     assert worst_window(fleet) <= 1.0
 
 
+@pytest.mark.parametrize(
+    ("scenario", "size", "seed"),
+    [
+        (allotments.hot_with_waiting_callers, 117, 2),
+        (allotments.hot_with_waiting_callers, 117, 3),
+        (allotments.hot_with_waiting_callers, 312, 1),
+        (allotments.hot_with_partial_views, 13, 1),
+        (allotments.hot_with_partial_views, 117, 1),
+        (allotments.hot_with_two_restarts, 13, 1),
+        (allotments.hot_with_two_restarts, 117, 1),
+        (allotments.hot_with_two_restarts, 117, 2),
+        (allotments.hot_with_half_restarted, 13, 1),
+        (allotments.hot_with_half_restarted, 117, 1),
+    ],
+)
+def test_hot_account_keeps_its_bound_in_a_restart(scenario, size, seed):
+    """Nobody has counted the requests that new processes get at once."""
+    assert worst_window(run(scenario, size, seed)) <= 1.0
+
+
 FEW_IN_SIGHT = balancing.FleetView("gw-0", {"gw-0": "dc-a", "gw-1": "dc-b"}, 24)
+WHOLE_FLEET = balancing.FleetView("gw-0", FEW_IN_SIGHT.data_centres, 2)
+
+
+def admit_unreported(policy, number, fleet):
+    """Return the decisions on as many requests, one a millisecond."""
+    random_state = random.Random(1)
+    return [
+        policy.admit(account(), fleet, 0.001 * n, random_state) for n in range(number)
+    ]
+
+
+def test_new_process_admits_only_a_first_request_until_it_can_know_the_share():
+    """The callers of an outage reach it before the account's owners can tell."""
+    decisions = admit_unreported(balancing.AdmittedShares(), 500, FEW_IN_SIGHT)
+    assert sum(d.is_admitted for d in decisions[:300]) <= 1
+    assert any(d.is_admitted for d in decisions[450:])
+
+
+def test_caller_of_a_new_process_is_told_to_return_when_the_share_can_be_known():
+    """One that returns at once gets the first request of another new process."""
+    decisions = admit_unreported(balancing.AdmittedShares(), 50, FEW_IN_SIGHT)
+    refused = [d for d in decisions if not d.is_admitted]
+    assert refused
+    assert all(d.retry_after > 0.3 for d in refused)
+
+
+def test_process_that_sees_the_whole_fleet_at_once_admits_freely():
+    decisions = admit_unreported(balancing.AdmittedShares(), 15, WHOLE_FLEET)
+    assert all(d.is_admitted for d in decisions)
 
 
 def test_new_process_reports_its_first_requests_when_it_sees_the_owners():
