Limits: 413 and 431 only where a source has just confirmed the configuration

Callers of a process that is cut off from store and peers got 431 for a head and 413 for a body that the operator had permitted for longer than config_apply_s (2.1 to 8.4 s after the publication; the process had no peer in sight that was ahead). 401 and 404 ask for a confirmation since; refusals for size still rested on board.behind alone, the same absence of news.

The refusal is now decided when it is written, not when the head is read, so that it can wait for a confirmation (0.3 s at most, no time while sources fail). A refusal by limits that have changed by then is not final either: otherwise the arrival of larger limits would confirm the refusal by the former ones.

Tests: test_cut_process_denies_no_size_that_is_permitted_now (two cases) failed before with 431 and 413; test_size_is_not_final_by_limits_that_change_before_ the_refusal gets 431 without the comparison of limits. The stand-in process of test_caller_connection offers confirm_limits() instead of limits_final; it states the same, that its limits are final. No expectation is changed.

--- a/boragegw/gateway/_caller_connection.py
+++ b/boragegw/gateway/_caller_connection.py
@@ -19,9 +19,10 @@
 class CallerConnection(asyncio.Protocol):
     """One connection of a caller.
 
-    :param gateway: has ``now``, ``limits``, ``limits_final``, ``stopping``,
-        ``body_memory``, ``check_head(request)``, ``error_response(status, request)``,
-        ``log_error(error)`` and the coroutine ``serve(request, writer)``.
+    :param gateway: has ``now``, ``limits``, ``stopping``, ``body_memory``,
+        ``check_head(request)``, ``error_response(status, request)``,
+        ``log_error(error)`` and the coroutines ``confirm_limits()`` and
+        ``serve(request, writer)``.
     """
 
     def __init__(self, gateway):
@@ -247,8 +248,7 @@
         self.served += 1
         try:
             if request.refused_status:
-                request.keep_alive = False
-                self.write(self.gateway.error_response(request.refused_status, request))
+                await self._write_refusal(request)
             else:
                 await self.gateway.serve(request, self)
         except Exception as error:
@@ -269,6 +269,23 @@
             self._serve_next()
             self._ask_for_body()
 
+    async def _write_refusal(self, request):
+        """Write the refusal of a request that was refused before it was complete.
+
+        Guards against a final refusal for its size by limits that the operator has
+        raised, or that are merely the defaults of a process without a configuration.
+        """
+        is_for_size = request.refused_status in _head_checks.SIZE_STATUSES
+        if is_for_size and not await self._are_limits_final(request.refused_by):
+            request.refused_status = 503
+            request.retry_after = RETRY_UNCERTAIN_LIMITS
+        request.keep_alive = False
+        self.write(self.gateway.error_response(request.refused_status, request))
+
+    async def _are_limits_final(self, limits):
+        """Return whether ``limits`` are certainly in force, which may take a moment."""
+        return await self.gateway.confirm_limits() and limits == self.gateway.limits
+
     def _ask_for_body(self):
         """Send 100 Continue to a caller that waits for it, after earlier responses."""
         if self._awaits_continue and self._task is None and not self._discarding_input:
@@ -362,9 +379,6 @@
     def _refuse_now(self, status):
         """Refuse the request that is being read, ignore further input, and close.
 
-        Guards against a final refusal for its size by limits that the operator has
-        raised, or that are merely the defaults of a process without a configuration.
-
         Earlier requests are still served first. A refusal sent before their responses
         would be taken for the response to another request.
         """
@@ -376,9 +390,7 @@
         self._discarding_input = True
         self._disarm()
         request.refused_status = status
-        if status in _head_checks.SIZE_STATUSES and not self.gateway.limits_final:
-            request.refused_status = 503
-            request.retry_after = RETRY_UNCERTAIN_LIMITS
+        request.refused_by = self.gateway.limits
         request.keep_alive = False
         self._waiting.append(request)
         self._serve_next()
--- a/boragegw/gateway/_confirmer.py
+++ b/boragegw/gateway/_confirmer.py
@@ -78,6 +78,15 @@
             await asyncio.wait((self._task,), timeout=timeout)
         return self.currency.is_fresh()
 
+    async def confirm_current(self):
+        """Return whether the latest configuration is certainly in force.
+
+        While sources fail, this takes no time.
+        """
+        if self.request():
+            await self.confirm(PATIENCE_SECONDS)
+        return self.currency.is_current()
+
     async def confirmation(self):
         """Return a :class:`Confirmation` for another process, or ``None``."""
         if not await self.confirm(self.currency.apply_limit):
--- a/boragegw/gateway/_endpoint.py
+++ b/boragegw/gateway/_endpoint.py
@@ -35,11 +35,14 @@
         self.handler = handler
         self.now = now
         self.limits = balancing.CallerLimits(body_bytes=0, idle_timeout=60.0)
-        self.limits_final = True
         self.stopping = False
         self.connections = set()
         self.body_memory = _request.BodyMemory()
 
+    async def confirm_limits(self):
+        """Return ``True``: these limits never change."""
+        return True
+
     async def listen(self, address):
         """Accept connections on ``(host, port)`` and return the server."""
         loop = asyncio.get_running_loop()
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -287,10 +287,10 @@
         configuration = self.board.configuration
         return self._default_limits if configuration is None else configuration.limits
 
-    @property
-    def limits_final(self):
-        """Whether no other limits may be in force, as far as this process knows."""
-        return self.board.configuration is not None and not self.board.behind
+    async def confirm_limits(self):
+        """Return whether the limits in force are certainly the latest."""
+        is_configured = self.board.configuration is not None
+        return is_configured and await self.confirmer.confirm_current()
 
     @property
     def stopping(self):
--- a/boragegw/gateway/_relay_listener.py
+++ b/boragegw/gateway/_relay_listener.py
@@ -42,10 +42,9 @@
             self._limits_of = limits
         return self._limits
 
-    @property
-    def limits_final(self):
-        """Whether a request over the limits is refused for good."""
-        return self.gateway.limits_final
+    async def confirm_limits(self):
+        """Return whether a request over the limits is refused for good."""
+        return await self.gateway.confirm_limits()
 
     @property
     def stopping(self):
--- a/boragegw/gateway/_request.py
+++ b/boragegw/gateway/_request.py
@@ -19,6 +19,7 @@
     :param arrived: monotonic seconds of the first byte.
     :param keep_alive: whether the connection stays open after the response.
     :param refused_status: HTTP status with which the request is refused, or 0.
+    :param refused_by: the limits by which it is refused, or ``None``.
     :param retry_after: seconds after which a refused request may be retried, or
         ``None``.
     :param admission: the :class:`~boragegw.gateway.Admission` that its head has got, or
@@ -36,6 +37,7 @@
     arrived: float = 0.0
     keep_alive: bool = True
     refused_status: int = 0
+    refused_by: object = None
     retry_after: float | None = None
     admission: object = None
     disconnected: object = None
--- a/boragegw/gateway/tests/test_caller_connection.py
+++ b/boragegw/gateway/tests/test_caller_connection.py
@@ -51,7 +51,6 @@
 
     def __init__(self, **limits):
         self.limits = balancing.CallerLimits(**limits)
-        self.limits_final = True
         self.stopping = False
         self.body_memory = gateway.BodyMemory()
         self.connections = set()
@@ -70,6 +69,9 @@
     def error_response(self, status, request):
         return b"HTTP/1.1 %d Refused\r\ncontent-length: 0\r\n\r\n" % status
 
+    async def confirm_limits(self):
+        return True
+
     async def serve(self, request, writer):
         await asyncio.sleep(self.delay)
         self.served.append((request.method, request.target, bytes(request.body)))
--- a/boragegw/gateway/tests/test_proper_requests.py
+++ b/boragegw/gateway/tests/test_proper_requests.py
@@ -49,6 +49,20 @@
     assert process.served == []
 
 
+@in_memory
+async def test_size_is_not_final_by_limits_that_change_before_the_refusal():
+    """Guards against a 431 by former limits, which the later ones seem to confirm."""
+    process = stand_in.Process(header_bytes=1000)
+
+    async def confirm_limits():
+        process.limits = stand_in.Process(header_bytes=5000).limits
+        return True
+
+    process.confirm_limits = confirm_limits
+    transport = await receive(process, (HEAD + b"x: " + b"y" * 2000 + b"\r\n\r\n", 0.1))
+    assert stand_in.statuses(transport) == [503]
+
+
 UPGRADE = HEAD + b"upgrade: h2c\r\nconnection: Upgrade, HTTP2-Settings\r\n"
 UPGRADE += b"http2-settings: AA\r\n"
 UPGRADES = [
--- a/boragegw/platform/tests/test_final_refusals.py
+++ b/boragegw/platform/tests/test_final_refusals.py
@@ -287,3 +287,20 @@
     reply = await test_api_keys.send_raw(installation, lines, to="gw-1", wait=0.1)
     assert reply.startswith(b"HTTP/1.1 503 ")
     assert installation.processes["gw-1"].body_memory.used_bytes == 0
+
+
+@in_memory
+@pytest.mark.parametrize(
+    "headers", [{"x-large": "v" * 20_000}, {"content-length": str(100 << 20)}]
+)
+async def test_cut_process_denies_no_size_that_is_permitted_now(headers):
+    """Guards against 431 and 413 by limits that nobody has confirmed lately."""
+    installation = await start_settled_installation(gateways=3)
+    isolate(installation, ["gw-1"])
+    limits = {"max_header_bytes": 30_000, "max_body_bytes": 200 << 20}
+    installation.publish([installation.route()], **limits)
+    for _ in MOMENTS:
+        await asyncio.sleep(APPLY_SECONDS + 0.1)
+        refused = await installation.call("/x", "POST", to="gw-1", **headers)
+        assert refused.status == 503
+        assert float(refused.headers["retry-after"]) > 0
