Confirmations: a key that begins like that of the configuration is not it

The probe of the store watches the prefix op/config and took every event for a write of the configuration. One written key beside it (op/config-draft) was taken for a later configuration that never arrives: every process gave 503 instead of 404 for unknown routes, after 0.3 s each, and read all records again and again. The revision is kept as the largest ever confirmed, so this lasted until the next configuration. The protocol names no such key today; found by reading.

test_key_beside_that_of_the_configuration_delays_no_404 failed before: 503.

--- a/boragegw/platform/_configuration_probe.py
+++ b/boragegw/platform/_configuration_probe.py
@@ -22,8 +22,9 @@
 
 
 class WireEventHead(msgspec.Struct):
-    """The revision of an event."""
+    """The key and the revision of an event."""
 
+    key: str
     rev: int
     deleted: bool = False
 
@@ -84,12 +85,17 @@
         if response.status == STATUS_GONE:
             return False
         changes = _decode(response, self._event_heads)
-        revisions = [event.rev for event in changes.events if not event.deleted]
-        self._revision = max(self._revision, *revisions, 0)
+        written = [e for e in changes.events if _is_configuration(e) and not e.deleted]
+        self._revision = max([self._revision, *(event.rev for event in written)])
         self._known_at = changes.as_of
         return True
 
 
+def _is_configuration(event):
+    """Return whether it is about the configuration, not a key that begins like its."""
+    return event.key == _wire_names.CONFIGURATION_KEY
+
+
 def _decode(response, decoder):
     if response.status != 200:
         raise gateway.SourceError(f"store returned status {response.status}")
--- a/boragegw/platform/tests/test_final_refusals.py
+++ b/boragegw/platform/tests/test_final_refusals.py
@@ -304,3 +304,14 @@
         refused = await installation.call("/x", "POST", to="gw-1", **headers)
         assert refused.status == 503
         assert float(refused.headers["retry-after"]) > 0
+
+
+@in_memory
+async def test_key_beside_that_of_the_configuration_delays_no_404():
+    """Guards against its revision being taken for that of a later configuration."""
+    installation = await start_settled_installation(gateways=2, prefix="/old/")
+    assert (await installation.call("/none/")).status == 404
+    installation.store.put("op/config-draft", b"")
+    await asyncio.sleep(APPLY_SECONDS + 0.1)
+    for name in installation.processes:
+        assert (await installation.call("/none/", to=name)).status == 404
