--- a/boragegw/gateway/_caller_connection.py
+++ b/boragegw/gateway/_caller_connection.py
@@ -279,7 +279,6 @@
         if is_for_size and not await self._are_limits_final(request.refused_by):
             request.refused_status = 503
             request.retry_after = RETRY_UNCERTAIN_LIMITS
-        request.keep_alive = False
         self.write(self.gateway.error_response(request.refused_status, request))
 
     async def _are_limits_final(self, limits):
