Follower: all processes regain a store that was away, not only the first ones

Beside the first process of each data centre, which checks once a second, all others together now check about once a second. The new test failed before with five processes and passes.

--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -22,7 +22,8 @@
 #: probe the store, and for all others.
 PROBER_RETRY_SECONDS = 0.4
 RETRY_SECONDS = 1.5
-#: Mean seconds between checks whether a lost store answers again, and seconds until the
+#: Mean seconds between checks whether a lost store answers again, of the process that
+#: comes first in its data centre and of all others together, and seconds until the
 #: answer must begin.
 REGAIN_SECONDS = 1.0
 REGAIN_TIMEOUT_SECONDS = 1.0
@@ -237,11 +238,16 @@
         self.membership.announce()
 
     async def regain_store(self):
-        """Check forever whether the store answers again after it was lost."""
+        """Check forever whether the store answers again after it was lost.
+
+        Guards against watchers that dwindle: of the processes that have lost the store
+        one after the other, none would notice that it answers them again as long as
+        any process can be followed.
+        """
         while True:
             share = 0.6 + 0.8 * self.random_state.random()
             await asyncio.sleep(REGAIN_SECONDS * share)
-            if not self._selector.should_regain_store():
+            if not self._is_regain_due():
                 continue
             try:
                 await self.store.confirm(REGAIN_TIMEOUT_SECONDS)
@@ -254,6 +260,13 @@
                 self._store_failures = 0
                 self._handle_regained_store()
 
+    def _is_regain_due(self):
+        if self.membership.local_member.reads_store:
+            return False
+        if self._selector.comes_first():
+            return True
+        return self.random_state.random() * self.membership.board.processes < 1.0
+
     async def _back_off_after_lost_history(self):
         """Back off exponentially if the history is lost again after a full read.
 
@@ -303,7 +316,7 @@
 
     async def _wait_before_retry(self):
         """Wait before the next retry, at most until a peer can be followed."""
-        probing = self._selector.should_probe_store()
+        probing = self._selector.comes_first()
         longest = PROBER_RETRY_SECONDS if probing else RETRY_SECONDS
         end = self.now() + longest * (0.6 + 0.8 * self.random_state.random())
         while self.now() < end and not self._selector.select_peer():  # noqa: ASYNC110
--- a/boragegw/gateway/_source_selector.py
+++ b/boragegw/gateway/_source_selector.py
@@ -64,19 +64,12 @@
         """Do not follow ``name`` for :data:`AVOID_SECONDS`."""
         self._avoided[name] = self.now() + AVOID_SECONDS
 
-    def should_probe_store(self):
-        """Return whether this process probes the store while no process can read it."""
-        return self.membership.local_member.name in self._store_probers()
-
-    def should_regain_store(self):
-        """Return whether this process has lost the store and should try it again.
+    def comes_first(self):
+        """Return whether this process comes first in its data centre.
 
-        Guards against watchers that dwindle: of the processes that have lost the store
-        one after the other, none would notice that it answers them again as long as
-        any process can be followed.
+        It probes the store while no process can read it.
         """
-        own = self.membership.local_member
-        return not own.reads_store and own.name in self._store_probers()
+        return self.membership.local_member.name in self._store_probers()
 
     def should_watch(self):
         """Return whether this process should watch the store for its data centre.
--- a/boragegw/platform/tests/test_store_cuts.py
+++ b/boragegw/platform/tests/test_store_cuts.py
@@ -55,6 +55,20 @@
     assert all(watchers(installation, name) for name in DATA_CENTRES)
 
 
+@in_memory
+async def test_all_processes_regain_a_store_that_was_away():
+    """Guards against entries that are doubted for good because one lost the store."""
+    installation = await start_settled_installation()
+    for name in installation.processes:
+        installation.network.cut(name, STORE_HOST)
+    await asyncio.sleep(20.0)
+    for name in installation.processes:
+        installation.network.heal(name, STORE_HOST)
+    await asyncio.sleep(60.0)
+    members = [p.local_member for p in installation.processes.values()]
+    assert [member.name for member in members if not member.reads_store] == []
+
+
 @in_memory
 async def test_change_is_in_force_in_time_though_a_watcher_of_each_centre_is_cut():
     """Guards against a fleet that waits until the silent watches are noticed."""
