Attempts: an exchange with a server and one with a process are the same code

No change in behaviour but one: in a relayed response, too, a response that states that it was not executed is no progress.

--- a/boragegw/gateway/_relay.py
+++ b/boragegw/gateway/_relay.py
@@ -11,7 +11,7 @@
 from boragegw import balancing, errors
 from boragegw.gateway import (
     _call,
-    _delivery,
+    _exchange,
     _peer_messages,
     _relay_messages,
     _upstream,
@@ -21,8 +21,6 @@
 
 #: Seconds that must remain before the deadline for a request to be relayed.
 MIN_REMAINING_TIME = 0.03
-#: Seconds after the request's deadline at which an attempt that was not cancelled ends.
-ATTEMPT_GRACE = 0.05
 #: Processes to which one attempt is offered, one after the other.
 MAX_OFFERS = 3
 #: Maximum number of connections to one process.
@@ -211,18 +209,12 @@
             call.request, _relay_messages.encode_header(info), left
         )
         try:
-            async with asyncio.timeout(left + ATTEMPT_GRACE):
-                response = await connection.start(
-                    head + bytes(call.request.body),
-                    lambda r: self.dialect.is_response_to(r, call.request_id),
-                    without_body=call.request.method == b"HEAD",
-                )
-                await _delivery.buffer_response(
-                    response, lambda: self._observe_progress(call, response)
-                )
-        except (_upstream.ExchangeError, TimeoutError) as error:
+            response = await _exchange.exchange(
+                call, connection, head, self.dialect, self.now
+            )
+        except _upstream.ExchangeError as error:
             connection.abort()
-            failure = getattr(error, "failure", _upstream.Failure.TIMEOUT)
+            failure = error.failure
             target.failures.observe(True, self.now())
             self._log_failure(call, target, failure.name)
             return _call.AttemptOutcome(
@@ -233,10 +225,6 @@
             raise
         return self._classify(target, connection, response)
 
-    def _observe_progress(self, call, response):
-        if response.status < 500 and self.dialect.is_authentic(response):
-            call.last_progress_at = self.now()
-
     def _classify(self, target, connection, response):
         if not self.dialect.is_authentic(response):
             if not response.complete:
--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -6,7 +6,7 @@
 from boragegw.gateway import (
     _admission,
     _call,
-    _delivery,
+    _exchange,
     _server_selector,
     _upstream,
 )
@@ -15,8 +15,6 @@
 
 #: Seconds that must remain before the deadline for an attempt to be made.
 MIN_REMAINING_TIME = 0.02
-#: Seconds after the request's deadline at which an attempt that was not cancelled ends.
-ATTEMPT_GRACE = 0.05
 #: Searches without any response that are repeated even if the request may not wait any
 #: longer. The first search may use idle connections that the network has silently
 #: dropped; the repeated one opens new connections.
@@ -260,21 +258,15 @@
         )
         connection = selection.connection
         try:
-            async with asyncio.timeout(left + ATTEMPT_GRACE):
-                response = await connection.start(
-                    head + bytes(call.request.body),
-                    lambda r: self.dialect.is_response_to(r, call.request_id),
-                    without_body=call.request.method == b"HEAD",
-                )
-                await _delivery.buffer_response(
-                    response, lambda: self._observe_progress(call, response)
-                )
-        except (_upstream.ExchangeError, TimeoutError) as error:
+            response = await _exchange.exchange(
+                call, connection, head, self.dialect, self.now
+            )
+        except _upstream.ExchangeError as error:
             connection.abort()
             self._observe_failure(server)
             self.selector.reach.observe_silence(server)
             self.board.counters["attempts.failed"] += 1
-            reason = getattr(error, "failure", _upstream.Failure.TIMEOUT)
+            reason = error.failure
             self.log.event(
                 "send-failed",
                 request=call.request_id.decode("latin-1"),
@@ -289,12 +281,6 @@
             )
         return self._process_response(call, selection, response, now)
 
-    def _observe_progress(self, call, response):
-        """Record progress of a response that can be passed to the caller."""
-        usable = response.status < 500 and not self.dialect.is_not_executed(response)
-        if usable and self.dialect.is_authentic(response):
-            call.last_progress_at = self.now()
-
     def _process_response(self, call, selection, response, started):
         now = self.now()
         server = selection.server
