Gateway: settings, and access to the store, are modules of their own

GatewaySettings moves to _gateway_settings.py; whether the store answers this process, and the checks after a loss, move to _store_access.py. No change in behaviour.

--- a/boragegw/gateway/__init__.py
+++ b/boragegw/gateway/__init__.py
@@ -29,7 +29,8 @@
 from boragegw.gateway._fetch import FetchedResponse, Fetcher
 from boragegw.gateway._follower import Follower
 from boragegw.gateway._forwarder import Forwarder
-from boragegw.gateway._gateway import Gateway, GatewaySettings
+from boragegw.gateway._gateway import Gateway
+from boragegw.gateway._gateway_settings import GatewaySettings
 from boragegw.gateway._membership import Membership
 from boragegw.gateway._metrics import CONTENT_TYPE, COUNTERS, Histogram, render_metrics
 from boragegw.gateway._peer_messages import Life, Member
--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -9,6 +9,7 @@
     _source_selector,
     _source_timeout,
     _sources,
+    _store_access,
 )
 
 #: Shortest and longest time in seconds that a watch waits for a change. The time
@@ -22,14 +23,7 @@
 #: probe the store, and for all others.
 PROBER_RETRY_SECONDS = 0.4
 RETRY_SECONDS = 1.5
-#: Mean seconds between checks whether a lost store answers again, of the process that
-#: comes first in its data centre and of all others together, and seconds until the
-#: answer must begin.
-REGAIN_SECONDS = 1.0
-REGAIN_TIMEOUT_SECONDS = 1.0
-#: Consecutive failures after which the store is considered lost, and the longest pause
-#: in seconds before the first retry.
-MAX_STORE_FAILURES = 2
+#: Longest pause in seconds before the first retry.
 FIRST_RETRY_SECONDS = 0.05
 #: Longest back-off in seconds between full reads after each of which the source reports
 #: that it does not have the changes since.
@@ -58,6 +52,7 @@
     :param store: the platform's store, a :class:`Source`.
     :param peer_source: function from a peer's address to a :class:`Source`.
     :param bootstrap: the whole system starts for the first time, without callers.
+    :ivar store_access: the :class:`StoreAccess`.
     :ivar answered_at: monotonic seconds of the last complete response of a source.
     :ivar answered_by: that source.
     """
@@ -86,10 +81,18 @@
         self._selector = _source_selector.SourceSelector(
             catalogue, membership, now=now, random_state=random_state
         )
+        self.store_access = _store_access.StoreAccess(
+            catalogue,
+            membership,
+            self._selector,
+            store,
+            now=now,
+            random_state=random_state,
+            log=log,
+        )
         self._peer_clients = _peer_clients.PeerClients(membership, peer_source)
         self._hedged_read = None
         self._source_name = None
-        self._store_failures = 0
         self._reread_backoff = 0.0
         self._timeout = _source_timeout.SourceTimeout()
         self._read_started_at = math.inf
@@ -226,46 +229,7 @@
         self._timeout.reset_backoff()
         if name is not None:
             return
-        self._store_failures = 0
-        if not self.membership.local_member.reads_store:
-            self.membership.local_member.watches_store = True
-            self._handle_regained_store()
-
-    def _handle_regained_store(self):
-        self.membership.local_member.reads_store = True
-        self.catalogue.store_failure_at = self.now()
-        self.log.event("store-regained", position=self.catalogue.position)
-        self.membership.announce()
-
-    async def regain_store(self):
-        """Check forever whether the store answers again after it was lost.
-
-        Guards against watchers that dwindle: of the processes that have lost the store
-        one after the other, none would notice that it answers them again as long as
-        any process can be followed.
-        """
-        while True:
-            share = 0.6 + 0.8 * self.random_state.random()
-            await asyncio.sleep(REGAIN_SECONDS * share)
-            if not self._is_regain_due():
-                continue
-            try:
-                await self.store.confirm(REGAIN_TIMEOUT_SECONDS)
-            except _sources.SourceError as error:
-                self.log.event(
-                    "store-read-failed", reason=str(error), received=error.received
-                )
-                continue
-            if not self.membership.local_member.reads_store:
-                self._store_failures = 0
-                self._handle_regained_store()
-
-    def _is_regain_due(self):
-        if self.membership.local_member.reads_store:
-            return False
-        if self._selector.comes_first():
-            return True
-        return self.random_state.random() * self.membership.board.processes < 1.0
+        self.store_access.observe_answer()
 
     async def _back_off_after_lost_history(self):
         """Back off exponentially if the history is lost again after a full read.
@@ -293,25 +257,15 @@
         details = {"reason": str(error), "received": error.received}
         if name is None:
             self._must_reread = True
-            self._store_failures += 1
             self.log.event("store-read-failed", **details)
         else:
             self._selector.avoid(name)
             self.log.event("peer-source-failed", peer=name, **details)
-        if name is not None or self._store_failures < MAX_STORE_FAILURES:
-            # Watches are interrupted occasionally; one failure does not mean that the
-            # store is lost.
+        if name is not None or not self.store_access.observe_failure(error):
             await asyncio.sleep(
                 FIRST_RETRY_SECONDS * (0.5 + 0.5 * self.random_state.random())
             )
             return
-        own = self.membership.local_member
-        self.catalogue.store_failure_at = self.now()
-        if own.reads_store:
-            own.reads_store = False
-            own.watches_store = False
-            self.log.event("store-lost", reason=str(error))
-            self.membership.announce()
         await self._wait_before_retry()
 
     async def _wait_before_retry(self):
