Relay: idle connections to other processes are closed after a cut

A cut left connections open at two processes until the callers' idle timeout. The new test failed before (2 connections 10 s after the cut) and passes.

--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -315,9 +315,7 @@
         self._start_task(
             self._run_periodically(SOURCE_CHECK_INTERVAL, self._check_fleet)
         )
-        self._start_task(
-            self._run_periodically(IDLE_CHECK_INTERVAL, self.selector.sweep)
-        )
+        self._start_task(self._run_periodically(IDLE_CHECK_INTERVAL, self._sweep))
 
     async def _listen_for_relays(self):
         address = self.settings.relay_address
@@ -351,6 +349,10 @@
             await asyncio.sleep(interval)
             action()
 
+    def _sweep(self):
+        self.selector.sweep()
+        self.forwarder.sender.relay.sweep()
+
     def _check_fleet(self):
         self.follower.check()
         self.currency.check()
--- a/boragegw/gateway/_relay.py
+++ b/boragegw/gateway/_relay.py
@@ -244,6 +244,11 @@
             pool=target.pool,
         )
 
+    def sweep(self):
+        """Close idle connections that will not be used again."""
+        for target in self._targets.values():
+            target.pool.sweep()
+
     def _log_failure(self, call, target, reason):
         self.board.counters["relays.failed"] += 1
         self.log.event(
--- a/boragegw/gateway/tests/test_relay.py
+++ b/boragegw/gateway/tests/test_relay.py
@@ -106,3 +106,19 @@
     await asyncio.sleep(1.0)
     answer = await installation.call(to="gw-1", authorization="Bearer other")
     assert answer.status == 401
+
+
+@standins.in_memory
+async def test_connections_of_the_relay_are_closed_after_the_cut():
+    """Guards against descriptors that each cut leaves open at two processes."""
+    installation = await start_cut(["gw-1"])
+    for _ in range(5):
+        await installation.call(to="gw-1")
+    set_cut(installation, ["gw-1"], False)
+    await asyncio.sleep(10.0)
+    relays = [
+        client
+        for client, _ in installation.network.connections
+        if client.remote[1] == standins.RELAY_PORT and not client.is_closing()
+    ]
+    assert relays == []
--- a/boragegw/standins/__init__.py
+++ b/boragegw/standins/__init__.py
@@ -47,6 +47,7 @@
 from boragegw.standins._wire_backend import WireBackend, WireFaults
 from boragegw.standins._wire_installation import (
     PEER_PORT,
+    RELAY_PORT,
     STORE_ADDRESS,
     WireInstallation,
     encode_request,
@@ -59,6 +60,7 @@
     "Attempt",
     "CURRENT_HOST",
     "PEER_PORT",
+    "RELAY_PORT",
     "STORE_ADDRESS",
     "in_memory",
     "generate_routes",
