--- a/boragegw/gateway/_server_selector.py
+++ b/boragegw/gateway/_server_selector.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from boragegw import balancing
-from boragegw.gateway import _upstream
+from boragegw.gateway import _server_pool, _upstream
 
 #: Seconds that a wave may take before the next one is sent as well. A probe takes up
 #: to 6 ms at a backend server and 4 ms on a new connection between data centres.
@@ -77,29 +77,6 @@
         return bool(self.probed and not self.responded)
 
 
-class _ServerPool(_upstream.ConnectionPool):
-    """Connections to one backend server, whose outcomes a monitor observes.
-
-    :param server: the server at the pool's address.
-    :param reach: the :class:`ReachMonitor`.
-    """
-
-    def __init__(self, server, reach, now):
-        super().__init__(server.listing.address, now)
-        self.server = server
-        self.reach = reach
-
-    async def connect(self):
-        """Open a new connection and report whether that succeeded."""
-        try:
-            connection = await super().connect()
-        except _upstream.ExchangeError as error:
-            self.reach.observe_connect(self.server, error)
-            raise
-        self.reach.observe_connect(self.server, None)
-        return connection
-
-
 class ServerSelector:
     """Selects a backend server for a request by probing candidates.
 
@@ -308,7 +285,9 @@
         key = server.listing.address
         pool = self._pools.get(key)
         if pool is None:
-            pool = self._pools[key] = _ServerPool(server, self.reach, self.now)
+            pool = self._pools[key] = _server_pool.ServerPool(
+                server, self.reach, self.now
+            )
         # The address of a server that is gone may be that of another one now.
         pool.server = server
         return pool
