Reachability: a process that lost more than 64 services is known to be cut off

What callers would get: the directory goes on to name a process that reaches no backend server if there are more than 64 services. A process publishes the ids of 64 lost services at most, so that its list never covers all of them. The new test (101 services) failed before: the directory named gw-1 as well.

If more than 64 services and all of them are lost, a single id stands for all. With 64 or fewer what is published is the same as before. A part of more than 64 is published in part still: a process that is asked for one of the others refuses it.

--- a/boragegw/gateway/_peer_messages.py
+++ b/boragegw/gateway/_peer_messages.py
@@ -39,7 +39,7 @@
     :param membership_format: see :data:`MEMBERSHIP_FORMAT`; 0 for processes that send
         none.
     :param unreached: ids of the services of which it reaches no backend server, see
-        :meth:`~boragegw.gateway._reach_monitor.ReachMonitor.service_id`.
+        :meth:`~boragegw.gateway._reach_monitor.ReachMonitor.published_ids`.
     :param relay_port: port for requests that other processes relay, on the host of
         ``peer_address``; 0 for processes that take none.
     """
--- a/boragegw/gateway/_reach_monitor.py
+++ b/boragegw/gateway/_reach_monitor.py
@@ -10,6 +10,8 @@
 #: Maximum number of services that a process publishes as out of reach. A heartbeat with
 #: them still fits into a datagram.
 MAX_PUBLISHED_SERVICES = 64
+#: Published in place of more ids if all services are out of reach.
+ALL_SERVICES = 0
 
 
 class ReachMonitor:
@@ -59,15 +61,30 @@
 
         :param member: its :class:`Member`.
         """
-        if not member.unreached:
-            return False
-        served = (name for name, servers in self.board.by_service.items() if servers)
-        return {self.service_id(name) for name in served} <= set(member.unreached)
+        if not member.unreached or ALL_SERVICES in member.unreached:
+            return bool(member.unreached)
+        return set(map(self.service_id, self._served())) <= set(member.unreached)
+
+    def may_reach(self, member, service_name):
+        """Return whether a process has not published the loss of a service.
+
+        :param member: its :class:`Member`.
+        """
+        ids = (ALL_SERVICES, self.service_id(service_name))
+        return not any(service_id in member.unreached for service_id in ids)
 
     def published_ids(self):
         """Return the ids of the services out of reach, as they are published."""
-        lost = self.lost_services()[:MAX_PUBLISHED_SERVICES]
-        return [self.service_id(name) for name in lost]
+        lost = self.lost_services()
+        if len(lost) > MAX_PUBLISHED_SERVICES and all(
+            map(self.is_lost, self._served())
+        ):
+            return [ALL_SERVICES]
+        return [self.service_id(name) for name in lost[:MAX_PUBLISHED_SERVICES]]
+
+    def _served(self):
+        """Return the names of the services that have servers."""
+        return [name for name, servers in self.board.by_service.items() if servers]
 
     # Observations.
 
--- a/boragegw/gateway/_relay.py
+++ b/boragegw/gateway/_relay.py
@@ -107,7 +107,6 @@
 
     def _choose(self, call, offered):
         """Return the :class:`Member` to offer the call to, or ``None``."""
-        service_id = self.reach.service_id(call.service.name)
         own = self.membership.local_member.data_centre
         members = self.membership.alive()
         candidates = [
@@ -115,7 +114,7 @@
             for member in members
             if member.life == _peer_messages.Life.READY
             and member.relay_port
-            and service_id not in member.unreached
+            and self.reach.may_reach(member, call.service.name)
             and member.name not in offered
             and self._may_target(member)
         ]
--- a/boragegw/gateway/tests/test_reach_monitor.py
+++ b/boragegw/gateway/tests/test_reach_monitor.py
@@ -80,3 +80,23 @@
         cut_from_servers(installation, name)
         await keep_calling(installation, name, 1.0)
     assert len(named_addresses(installation, "gw-0")) == 4
+
+
+@standins.in_memory
+async def test_directory_does_not_name_a_process_that_lost_very_many_services():
+    """Guards against a list of lost services that is cut short and seems partial."""
+    installation = await standins.WireInstallation().start(gateways=2, backends=1)
+    services = [f"app-{number}" for number in range(100)]
+    installation.publish([installation.route()], services=["app", *services])
+    for service in services:
+        await installation.add_backend(f"i-{service}", service)
+    await asyncio.sleep(1.0)
+    cut_from_servers(installation, "gw-1")
+    process = installation.processes["gw-1"]
+    for _ in range(8):
+        for server in process.board.servers.values():
+            process.reach.observe_silence(server)
+        await keep_calling(installation, "gw-1", 0.3)
+    assert len(process.reach.lost_services()) == 101
+    assert named_addresses(installation, "gw-0") == {"gw-0"}
+    assert (await installation.call(to="gw-1")).status == 200
