Relay: the key and the version of a relayed request are tested at the listener

test_unknown_key_of_a_relayed_request_is_refused could not fail for what it names: the process that the caller asks refuses the key before anything is relayed. It is replaced by requests to the listener itself, one with an unknown and one with a known key, and one more by a later configuration. Tried: without the check of the version the last one fails, without the check of the key the first one.

--- a/boragegw/gateway/tests/test_relay.py
+++ b/boragegw/gateway/tests/test_relay.py
@@ -5,6 +5,7 @@
 import pytest
 
 from boragegw import standins
+from boragegw.gateway import _relay_messages
 
 ALL = ("gw-0", "gw-1", "gw-2")
 
@@ -98,14 +99,39 @@
     assert sum(counted) == 10
 
 
+async def send_to_listener(installation, version, **headers):
+    """Send a request to the relay listener of ``gw-0``, as another process does."""
+    headers = {"x-request-id": "r", "x-deadline-ms": "1500", **headers}
+    info = _relay_messages.RelayInfo("app", version)
+    name, value = _relay_messages.encode_header(info)
+    headers[name.decode()] = value.decode()
+    address = ("gw-0", standins.RELAY_PORT)
+    return await installation.send_request(address, "/relayed", headers=headers)
+
+
 @standins.in_memory
-async def test_unknown_key_of_a_relayed_request_is_refused():
-    installation = await start_cut(["gw-1"])
+async def test_relay_listener_checks_the_key_of_a_request():
+    """Guards against a request that passes with a key that only the sender knows."""
+    installation = await standins.WireInstallation().start(gateways=2)
     account = installation.account("acme", "k1")
     installation.publish([installation.route()], accounts=[account])
     await asyncio.sleep(1.0)
-    answer = await installation.call(to="gw-1", authorization="Bearer other")
-    assert answer.status == 401
+    version = installation.version
+    statuses = [
+        (await send_to_listener(installation, version, authorization=key)).status
+        for key in ("Bearer other", "Bearer k1")
+    ]
+    assert statuses == [401, 200]
+    assert len(installation.runs("/relayed")) == 1
+
+
+@standins.in_memory
+async def test_relay_listener_takes_no_request_by_a_later_configuration():
+    """Guards against a route that goes back to the service that it had before."""
+    installation = await standins.WireInstallation().start(gateways=2)
+    refused = await send_to_listener(installation, installation.version + 1)
+    assert refused.status == 503
+    assert not installation.runs("/relayed")
 
 
 @standins.in_memory
