Relay: the record of an attempt names its figures

Found in the read-through: a relayed attempt was recorded as (name, 0.0, 1.0, None, after), and AttemptRecord did not say that its server may be a process. No change in behaviour.

--- a/boragegw/gateway/_call.py
+++ b/boragegw/gateway/_call.py
@@ -16,6 +16,9 @@
 class AttemptRecord:
     """Log record of one attempt: the server and the figures behind its selection.
 
+    A process to which the request was relayed has no such figures.
+
+    :param server: identity of the server, or name of that process.
     :param cost: expected time at the server, as a multiple of the usual time.
     :param slowness: processing time at the server, as a multiple of the usual time.
     :param load: requests that the server held according to its latest load report.
--- a/boragegw/gateway/_relay.py
+++ b/boragegw/gateway/_relay.py
@@ -186,7 +186,9 @@
         after = round(now - call.request.arrived, 4)
         call.attempts += 1
         call.attempt_records.append(
-            _call.AttemptRecord(target.identity, 0.0, 1.0, None, after)
+            _call.AttemptRecord(
+                server=target.identity, cost=0.0, slowness=1.0, load=None, after=after
+            )
         )
         if call.last_progress_at is None:
             call.last_progress_at = now
