--- /dev/null
+++ b/boragegw/platform/tests/test_silent_store.py
@@ -0,0 +1,91 @@
+"""Changes that are published while the store answers only some of the processes."""
+
+import asyncio
+
+import pytest
+
+from boragegw import standins
+from boragegw.platform.tests import test_store_cuts
+
+in_memory = standins.in_memory
+
+STORE_HOST = standins.STORE_ADDRESS[0]
+DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
+PROCESSES = 12
+#: Seconds of silence before a publication.
+DELAYS = (0.0, 0.4, 1.0, 2.0, 4.0)
+
+
+async def start_fleet(processes=PROCESSES):
+    """Start an installation and wait until its sources are chosen."""
+    installation = await standins.WireInstallation().start(
+        gateways=processes, data_centres=DATA_CENTRES
+    )
+    await asyncio.sleep(30.0)
+    return installation
+
+
+def watchers(installation):
+    found = (test_store_cuts.watchers(installation, name) for name in DATA_CENTRES)
+    return [name for names in found for name in names]
+
+
+def separate(installation, names, mode):
+    """Let the store fall silent, or refuse, for the named processes."""
+    return installation.network.partition(names, [STORE_HOST], mode)
+
+
+async def outdated_after(installation, excluded, seconds):
+    """Publish a route; return the other processes without it after ``seconds``."""
+    installation.publish([installation.route("/new/")])
+    await asyncio.sleep(seconds)
+    others = [name for name in installation.processes if name not in excluded]
+    return test_store_cuts.processes_without_latest(installation, others)
+
+
+@in_memory
+@pytest.mark.parametrize("delay", DELAYS)
+@pytest.mark.parametrize("mode", ["SILENT", "RESET", "REFUSE"])
+async def test_change_is_in_force_in_time_while_the_store_fails_all_watchers(
+    mode, delay
+):
+    """Guards against changes that nobody knows until silent watches are noticed."""
+    installation = await start_fleet()
+    names = watchers(installation)
+    assert len(names) == len(DATA_CENTRES)
+    separate(installation, names, standins.PartitionMode[mode])
+    await asyncio.sleep(delay)
+    apply_seconds = test_store_cuts.APPLY_SECONDS
+    assert await outdated_after(installation, names, apply_seconds) == []
+
+
+@in_memory
+@pytest.mark.parametrize("delay", DELAYS)
+@pytest.mark.parametrize("mode", ["SILENT", "RESET"])
+async def test_change_is_in_force_in_time_while_the_store_answers_every_third(
+    mode, delay
+):
+    """Guards against successors that try a silent store one after the other."""
+    installation = await start_fleet()
+    kept = [n for n in installation.processes if n not in watchers(installation)][::2]
+    cut = [name for name in installation.processes if name not in kept]
+    separate(installation, cut, standins.PartitionMode[mode])
+    await asyncio.sleep(delay)
+    apply_seconds = test_store_cuts.APPLY_SECONDS
+    assert await outdated_after(installation, cut, apply_seconds) == []
+
+
+@in_memory
+async def test_recalled_server_gets_no_request_while_the_store_fails_all_watchers():
+    """Guards against recalls that nobody knows until silent watches are noticed."""
+    installation = await start_fleet()
+    names = watchers(installation)
+    separate(installation, names, standins.PartitionMode.SILENT)
+    backend = installation.backends["i-0"]
+    installation.store.put("servers/i-0", backend.entry("app", state="draining"))
+    await asyncio.sleep(test_store_cuts.APPLY_SECONDS)
+    before = len(backend.runs)
+    for name in [name for name in installation.processes if name not in names]:
+        for number in range(6):
+            await installation.call(f"/{number}", to=name)
+    assert len(backend.runs) == before
