Store: a process that watches it notices silence in time, and all others ask it at once

What callers saw: requests handled by an older configuration (CONFIG), and recalled servers that got new work, up to 3.6 s after a change was confirmed.

Cause: one process a data centre watches the store, for up to 20 s a call. If the store answers none of them, no process is ahead, and nothing shows that a watch is silent until the kernel ends the connection after 3 s; successors then try the store one after the other. Class: a source whose silence looks like calm.

Mend: the first of all that watch the store ends its watch after 0.6 of config_apply_s. When an answer is overdue by 0.1 s at two checks it notifies all processes; the first six of each data centre ask the store. Those that it answers watch it for 6 s, so that the others can follow them; those that it doesn't answer count it as lost, so that no successor is silent. The answer of a slow store is overdue only beyond twice its last delay. A process that stands in confirms by the store itself: two of one data centre asked each other in a circle (found by test_recovery).

--- a/benchmarks/_rollout_replica.py
+++ b/benchmarks/_rollout_replica.py
@@ -12,6 +12,8 @@
 GOSSIP_DELAY_SECONDS = (0.5, 1.0)
 #: Seconds between two kept states of the fleet.
 GOSSIP_STEP_SECONDS = 0.05
+#: Seconds within which a configuration has to be in force.
+APPLY_LIMIT_SECONDS = 2.0
 #: Seconds between a process's checks of its source while a publication is measured.
 CHECK_INTERVAL_SECONDS = 0.1
 
@@ -70,6 +72,10 @@
         """Return the greatest revision that any process knew ``delay`` seconds ago."""
         return self.gossip.delayed_view(self.delay)[1]
 
+    def heard_lately(self):
+        """Return the member of each other process: none falls silent."""
+        return self.alive()
+
     def watch(self, name):
         """Do nothing: the simulated gossip delays all changes alike."""
 
@@ -190,6 +196,7 @@
             self.membership,
             DecodingDelaySource(self._store(), self._simulate_decoding),
             self._peer_source,
+            apply_limit=APPLY_LIMIT_SECONDS,
             random_state=random_state,
             **common,
         )
--- a/boragegw/gateway/_confirmer.py
+++ b/boragegw/gateway/_confirmer.py
@@ -125,8 +125,11 @@
     def _choose_sources(self):
         """Return the source to ask first, and a function that finds the second one.
 
-        Of the processes that watch the store, one asks it for the others.
+        Of the processes that watch the store, one asks it for the others. One that
+        stands in asks the store itself: the others may not be answered.
         """
+        if self.follower.selector.is_standing_in:
+            return None, lambda: self.selector.other_root(None)
         first = self.selector.best_peer()
         if self.selector.should_watch():
             first = self.selector.first_root()
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -27,6 +27,7 @@
     _request,
     _server_selector,
     _source_selector,
+    _store_alarm,
 )
 
 #: Seconds between checks of the sources of published records and for news of the fleet,
@@ -133,9 +134,20 @@
             self.membership,
             store,
             self._peer_source,
+            apply_limit=settings.apply_limit,
             bootstrap=settings.bootstrap,
             **randomized,
         )
+        self.store_alarm = _store_alarm.StoreAlarm(
+            self.membership,
+            self.follower.selector,
+            self.follower,
+            store,
+            settings.apply_limit,
+            now=self.now,
+            counters=self.board.counters,
+            log=self.log,
+        )
         self.currency = _currency.Currency(
             self.board,
             self.catalogue,
@@ -178,6 +190,7 @@
         self.catalogue.on_change = self._announce_ready
         self.reach.on_change = self._announce_reach
         self.membership.on_allotment = self.allotments.receive
+        self.membership.on_store_notice = self.store_alarm.receive
         self.membership.on_crash = self.forwarder.sender.observe_crash
         self.forwarder.sender.broadcast_crash = self.membership.broadcast_crash
 
@@ -355,6 +368,7 @@
 
     def _check_fleet(self):
         self.follower.check()
+        self.store_alarm.check()
         self.currency.check()
         self.confirmer.check()
         self.membership.send_news()
--- a/boragegw/gateway/_membership.py
+++ b/boragegw/gateway/_membership.py
@@ -17,6 +17,8 @@
 
 #: Seconds between heartbeats, or rounds of probes.
 HEARTBEAT_INTERVAL_SECONDS = 0.5
+#: Seconds without a heartbeat after which a process of a small fleet may be gone.
+QUIET_SECONDS = 2.4 * HEARTBEAT_INTERVAL_SECONDS
 #: Seconds between checks for news to send.
 NEWS_INTERVAL_SECONDS = 0.1
 #: Seconds after the start in which other processes may not have been heard yet, and the
@@ -42,6 +44,8 @@
 #: changes in the fleet, and otherwise. An update takes 20 bytes.
 CALM_SYNCHRONIZATION_RATE = 40.0
 SYNCHRONIZATION_RATE = 160.0
+#: Membership format from which processes understand a :class:`StoreNotice`.
+MIN_STORE_NOTICE_FORMAT = 3
 
 
 class Membership(asyncio.DatagramProtocol):
@@ -55,6 +59,7 @@
     :param seeds: function that returns the ``(host, port)`` pairs of the seeds.
     :ivar on_crash: called with the fingerprint of each :class:`CrashNotice`.
     :ivar on_allotment: called with each message about allotments.
+    :ivar on_store_notice: called with each :class:`StoreNotice`.
     """
 
     def __init__(self, board, local_member, seeds, *, now, log, random_state=None):
@@ -66,6 +71,7 @@
         self.random_state = random_state or random.Random()
         self.on_crash = None
         self.on_allotment = None
+        self.on_store_notice = None
         self.roster = _roster.Roster(local_member, now=now, log=log)
         self.detector = _failure_detector.FailureDetector(
             self.roster, now=now, random_state=self.random_state
@@ -91,6 +97,7 @@
             _peer_messages.MemberRequest: self._handle_request,
             balancing.UsageReport: self._handle_allotment,
             balancing.LimitNotice: self._handle_allotment,
+            _peer_messages.StoreNotice: self._handle_store_notice,
         }
 
     # Queries.
@@ -110,6 +117,16 @@
         """Return the greatest revision that another live process knows."""
         return max((m.revision for m in self.alive()), default=0)
 
+    def heard_lately(self):
+        """Return the :class:`Member` of each other live process that is not silent."""
+        return [k.member for k in self.roster.alive() if not self._is_quiet(k)]
+
+    def _is_quiet(self, known):
+        """Return whether a live process may be gone, before it is considered gone."""
+        if self.roster.is_large:
+            return known.is_suspected
+        return self.now() > known.heard_at + QUIET_SECONDS
+
     def watch(self, name):
         """Probe the process ``name`` often, or none if ``None``."""
         self.detector.watched_name = name
@@ -174,6 +191,15 @@
         notice = _peer_messages.CrashNotice(fingerprint)
         self.send_message(self.roster.alive(), notice)
 
+    def broadcast_store_alarm(self):
+        """Report to all live processes that the store does not answer this one."""
+        targets = [
+            known
+            for known in self.roster.alive()
+            if known.member.membership_format >= MIN_STORE_NOTICE_FORMAT
+        ]
+        self.send_message(targets, _peer_messages.StoreNotice())
+
     def send_message(self, targets, message):
         """Send a message to each :class:`KnownPeer` of ``targets``."""
         datagram = self._encode(message)
@@ -375,6 +401,10 @@
         if self.on_allotment is not None:
             self.on_allotment(message)
 
+    def _handle_store_notice(self, message, addr):
+        if self.on_store_notice is not None:
+            self.on_store_notice(message)
+
     def _handle_updates(self, message, addr):
         for index, update in enumerate(message.updates):
             self._apply_update(update, is_sender=index == 0)
--- a/boragegw/gateway/_peer_messages.py
+++ b/boragegw/gateway/_peer_messages.py
@@ -18,8 +18,8 @@
 #: Version of the format in which this process replicates records to its peers.
 REPLICA_FORMAT = 1
 #: Version of the membership protocol: processes with 0 know only heartbeats, those with
-#: 1 no messages about allotments.
-MEMBERSHIP_FORMAT = 2
+#: 1 no messages about allotments, those with 2 no :class:`StoreNotice`.
+MEMBERSHIP_FORMAT = 3
 
 
 class Member(msgspec.Struct, array_like=True, omit_defaults=True):
@@ -172,6 +172,10 @@
     fingerprint: bytes
 
 
+class StoreNotice(msgspec.Struct, array_like=True, tag="s"):
+    """The platform's store has not answered a process that watches it in time."""
+
+
 #: Any of the datagrams.
 Datagram = (
     Heartbeat
@@ -181,4 +185,5 @@
     | MemberRequest
     | balancing.UsageReport
     | balancing.LimitNotice
+    | StoreNotice
 )
--- a/boragegw/gateway/_source_selector.py
+++ b/boragegw/gateway/_source_selector.py
@@ -11,6 +11,9 @@
 FIRST_ROOT_KEY = "store"
 #: Seconds for which a process is not followed after it failed or was too slow.
 AVOID_SECONDS = 2.0
+#: Seconds for which a process watches the store after the store answered its check: the
+#: silence is noticed meanwhile by all that should watch.
+STAND_IN_SECONDS = 6.0
 
 
 class SourceSelector:
@@ -34,6 +37,7 @@
         self.random_state = random_state
         self.failing = False
         self._avoided = {}
+        self._stand_in_until = -math.inf
 
     @property
     def reads_store(self):
@@ -64,6 +68,20 @@
         """Do not follow ``name`` for :data:`AVOID_SECONDS`."""
         self._avoided[name] = self.now() + AVOID_SECONDS
 
+    @property
+    def is_standing_in(self):
+        """Whether this process watches the store because others may not be answered."""
+        return self.now() < self._stand_in_until
+
+    def stand_in(self):
+        """Watch the store for :data:`STAND_IN_SECONDS`."""
+        self._stand_in_until = self.now() + STAND_IN_SECONDS
+
+    def is_checker(self, count):
+        """Return whether this process is among the first ``count`` of its centre."""
+        own = self.membership.local_member
+        return own.name in self._first_of_each(self._compatible_members(), count)
+
     def comes_first(self):
         """Return whether this process comes first in its data centre.
 
@@ -81,7 +99,7 @@
             return False
         own = self.membership.local_member
         if own.reads_store:
-            return own.name in self._store_watchers()
+            return self.is_standing_in or own.name in self._store_watchers()
         return self.best_peer() is None and own.name in self._store_probers()
 
     def _store_watchers(self):
@@ -102,7 +120,7 @@
         own = self.membership.local_member.replica_format
         return [m for m in self.membership.alive() if m.replica_format == own]
 
-    def _first_of_each(self, members):
+    def _first_of_each(self, members, count=WATCHERS_PER_DATA_CENTRE):
         staying = [m for m in members if m.life != _peer_messages.Life.LEAVING]
         own = self.membership.local_member
         if own.life != _peer_messages.Life.LEAVING:
@@ -115,7 +133,7 @@
             for data_centre, group in groups.items()
             for name in utils.rendezvous_rank(
                 data_centre, _names_with_fastest_link(group)
-            )[:WATCHERS_PER_DATA_CENTRE]
+            )[:count]
         }
 
     def best_peer(self):
@@ -140,6 +158,17 @@
         first = utils.rendezvous_rank(FIRST_ROOT_KEY, [*names, own.name])[0]
         return None if first == own.name else first
 
+    def watches_first(self):
+        """Return whether this process is the first that watches the store.
+
+        Silent processes are passed over before they are considered gone, and the
+        format of the others does not matter: only one process watches for silence.
+        """
+        members = self.membership.heard_lately()
+        names = [m.name for m in members if _replication_tree.is_root(m)]
+        own = self.membership.local_member.name
+        return utils.rendezvous_rank(FIRST_ROOT_KEY, [*names, own])[0] == own
+
     def other_root(self, name):
         """Return another process that watches the store, ``None`` if there is none."""
         roots = [m for m in self._candidates() if _replication_tree.is_root(m)]
--- a/boragegw/gateway/_store_access.py
+++ b/boragegw/gateway/_store_access.py
@@ -53,14 +53,20 @@
         self._failures += 1
         if self._failures < MAX_STORE_FAILURES:
             return False
-        self.catalogue.store_failure_at = self.now()
-        if not self.is_lost:
-            self.membership.local_member.reads_store = False
-            self.membership.local_member.watches_store = False
-            self.log.event("store-lost", reason=str(error))
-            self.membership.announce()
+        self.mark_lost(error)
         return True
 
+    def mark_lost(self, error):
+        """Consider the store lost, after the :class:`SourceError` ``error``."""
+        self._failures = max(self._failures, MAX_STORE_FAILURES)
+        self.catalogue.store_failure_at = self.now()
+        if self.is_lost:
+            return
+        self.membership.local_member.reads_store = False
+        self.membership.local_member.watches_store = False
+        self.log.event("store-lost", reason=str(error))
+        self.membership.announce()
+
     async def regain(self):
         """Check forever whether the store answers again after it was lost.
 
--- a/boragegw/platform/tests/test_silent_store.py
+++ b/boragegw/platform/tests/test_silent_store.py
@@ -75,6 +75,42 @@
     assert await outdated_after(installation, cut, apply_seconds) == []
 
 
+@in_memory
+@pytest.mark.parametrize("delay", DELAYS)
+async def test_change_is_in_force_in_time_though_the_first_watcher_is_killed_too(delay):
+    """Guards against a successor that waits long before it notices the silence."""
+    installation = await start_fleet()
+    names = watchers(installation)
+    processes = installation.processes
+    first = next(n for n in names if processes[n].follower.selector.watches_first())
+    separate(installation, names, standins.PartitionMode.SILENT)
+    installation.kill_gateway(first)
+    await asyncio.sleep(delay)
+    apply_seconds = test_store_cuts.APPLY_SECONDS
+    assert await outdated_after(installation, names, apply_seconds) == []
+
+
+@in_memory
+@pytest.mark.parametrize("processes", [1, 3, PROCESSES])
+async def test_calm_store_gets_one_call_a_second_from_a_fleet_of_any_size(processes):
+    """Guards against watches for silence by every process that watches the store."""
+    installation = await start_fleet(processes)
+    before = installation.store.calls
+    await asyncio.sleep(20.0)
+    assert installation.store.calls - before <= 20
+
+
+@in_memory
+async def test_slow_store_causes_few_alarms():
+    """Guards against an alarm for each answer of a store that is merely slow."""
+    installation = await start_fleet()
+    installation.store.latency = 0.4
+    await asyncio.sleep(20.0)
+    processes = installation.processes.values()
+    assert sum(p.board.counters["store.alarms"] for p in processes) <= 4
+    assert all(p.local_member.reads_store for p in processes)
+
+
 @in_memory
 async def test_recalled_server_gets_no_request_while_the_store_fails_all_watchers():
     """Guards against recalls that nobody knows until silent watches are noticed."""
--- a/boragegw/standins/_wire_store.py
+++ b/boragegw/standins/_wire_store.py
@@ -15,6 +15,7 @@
     :param page_size: maximum number of items in a page of a range read.
     :ivar status: if set, status of the responses to all calls.
     :ivar hang: while set, calls get no response.
+    :ivar latency: seconds by which each response is late.
     :ivar stall_watches: watches that start while this is set get no events before
         they time out.
     :ivar calls: number of calls received.
@@ -26,6 +27,7 @@
         self.page_size = page_size
         self.status = None
         self.hang = False
+        self.latency = 0.0
         self.stall_watches = False
         self.calls = 0
         self.revision = 0
@@ -73,6 +75,8 @@
         self.calls += 1
         if self.hang:
             await asyncio.sleep(3600)
+        if self.latency:
+            await asyncio.sleep(self.latency)
         if self.status is not None:
             return gateway.EndpointResponse(self.status)
         path, _, text = target.decode().partition("?")
