Retry budget: a process has no part of the slack in the first window after its start

Cause: a process counts its retries in memory; each start spends its part of the slack anew. Ruled out: a fleet size that is assumed too small (these sites have fewer than the 24 that are assumed), retries that are not counted. Class: a bound over a window and the whole fleet in the memory of processes that restart.

Why it works: spending after the first window lies a whole window after whatever was spent before the start. The share of the own requests is there at once.

--- a/boragegw/balancing/_budget.py
+++ b/boragegw/balancing/_budget.py
@@ -1,6 +1,7 @@
 """Budgets of probes, retries and hedges: fleet-wide limits divided among processes."""
 
 import collections
+import math
 
 from boragegw import utils
 
@@ -93,11 +94,15 @@
     processes that may be alive, including those that have recently become silent.
     Otherwise both sides of a network partition would spend the whole slack.
 
+    A process does not know what it spent before a restart. It has no part of the slack
+    for one window after its start, so that no window contains the slack of two starts.
+
     :param ratio: retries for each request.
     :param slack: additional retries of the fleet in a window.
     :param window: seconds.
     :param margin: share of the budget that is spent. The rest covers requests that
         callers count in another window than their retries.
+    :param started_at: monotonic seconds of the start of the process.
     """
 
     _parameter_constraints = {
@@ -107,11 +112,14 @@
         "margin": utils.Interval(float, 0, 1),
     }
 
-    def __init__(self, ratio=0.2, slack=50.0, window=10.0, margin=0.8):
+    def __init__(
+        self, ratio=0.2, slack=50.0, window=10.0, margin=0.8, started_at=-math.inf
+    ):
         self.ratio = ratio
         self.slack = slack
         self.window = window
         self.margin = margin
+        self.started_at = started_at
         self._requests = SlidingWindowCounter(window)
         self._retries = SlidingWindowCounter(window)
 
@@ -125,9 +133,13 @@
         :param processes: number of processes that may be alive, this one included.
         """
         self._check_params()
-        budget = self.ratio * self._requests.total(now) + self.slack / processes
+        slack = self.slack / processes if self._may_spend_slack(now) else 0.0
+        budget = self.ratio * self._requests.total(now) + slack
         return self.margin * budget - self._retries.total(now)
 
+    def _may_spend_slack(self, now):
+        return now >= self.started_at + self.window
+
     def try_spend(self, now, processes, reserve=0.0):
         """Spend one retry; return whether the budget allowed it.
 
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -75,6 +75,7 @@
         self.board = board
         self.connections = set()
         self.body_memory = _request.BodyMemory()
+        self._started_at = now()
         self._seeds = settings.seeds
         self._default_limits = balancing.CallerLimits()
         self._listeners = []
@@ -217,6 +218,7 @@
             settings.retry_budget_ratio,
             settings.retry_budget_slack,
             settings.retry_budget_window,
+            started_at=self._started_at,
         )
 
     def _make_allotment_policy(self, policies):
@@ -226,7 +228,7 @@
             window=settings.quota_window,
             overshoot=settings.quota_overshoot,
             slack=settings.quota_slack,
-            started_at=self.now(),
+            started_at=self._started_at,
             incarnation=self.local_member.incarnation,
         )
 
