--- a/boragegw/standins/_wire_backend.py
+++ b/boragegw/standins/_wire_backend.py
@@ -48,6 +48,8 @@
     :param service_seconds: seconds that a request takes.
     :param load: text of its load reports; it sends none if the text is empty.
     :param handshake_seconds: seconds that accepting a connection takes.
+    :ivar limits: requests a second that its answers name as its limit, as texts; one
+        header line each.
     :ivar runs: (request id, target, body) of each request that was run.
     :ivar arrivals: (seconds, request id) of each request but those for another server.
     :ivar probes: number of health checks received.
@@ -72,6 +74,7 @@
         self.handshake_seconds = handshake_seconds
         self.body = b"answer of " + identity.encode()
         self.faults = WireFaults()
+        self.limits = ()
         self.runs = []
         self.arrivals = []
         self.probes = 0
@@ -228,6 +231,7 @@
             self.transport.abort()
             return
         headers = [*id_header, ("x-server-signature", f"sig-{request_id}")]
+        headers += [("server-limit", limit) for limit in backend.limits]
         self._respond(faults.status, headers, backend.body)
 
     def _respond(self, status, headers, body):
