--- a/boragegw/platform/tests/test_silent_store.py
+++ b/boragegw/platform/tests/test_silent_store.py
@@ -75,6 +75,20 @@
     assert await outdated_after(installation, cut, apply_seconds) == []
 
 
+@in_memory
+@pytest.mark.parametrize("pause", [3.0, 5.0, 9.0])
+@pytest.mark.parametrize("outage", [0.5, 1.4, 3.3, 6.0])
+async def test_calls_from_the_end_of_a_silent_outage_delay_no_change(outage, pause):
+    """Guards against calls of the outage that are waited for when it is over."""
+    installation = await start_fleet()
+    installation.store.hang = True
+    await asyncio.sleep(outage)
+    installation.store.hang = False
+    await asyncio.sleep(pause)
+    apply_seconds = test_store_cuts.APPLY_SECONDS
+    assert await outdated_after(installation, [], apply_seconds) == []
+
+
 @in_memory
 @pytest.mark.parametrize("delay", DELAYS)
 async def test_change_is_in_force_in_time_though_the_first_watcher_is_killed_too(delay):
