Server limits: all processes together keep the limit that a backend server names

Cause: nobody read the header. Ruled out: retries and hedges as the cause, none in the windows of the record.

The limit is read from any answer and told to all processes. As many share it as its tolerance leaves room for, chosen by rendezvous hashing, each with a token bucket that starts empty; the others pass the server over. Why it holds: the sharers' rates add up to 0.8 of the limit, their saved tokens to less than the tolerance, for any number of restarts; and while nobody has heard of the limit, one process at a time asks. What no server may take is refused at once, with the time until one may.

--- a/boragegw/balancing/__init__.py
+++ b/boragegw/balancing/__init__.py
@@ -41,6 +41,11 @@
     WeightedService,
     normalize_host,
 )
+from boragegw.balancing._server_limits import (
+    ServerLimitNotice,
+    ServerLimitPolicy,
+    ServerLimits,
+)
 from boragegw.balancing._servers import (
     SLOWNESS_THRESHOLD,
     FailureRate,
@@ -85,6 +90,9 @@
     "Saturation",
     "ScoredServer",
     "Server",
+    "ServerLimitNotice",
+    "ServerLimitPolicy",
+    "ServerLimits",
     "ServiceSettings",
     "SheddingPolicy",
     "SlidingWindowCounter",
--- a/boragegw/balancing/_policies.py
+++ b/boragegw/balancing/_policies.py
@@ -8,6 +8,7 @@
     _probing,
     _reachability,
     _relaying,
+    _server_limits,
     _shedding,
     _slowness,
     _warmup,
@@ -22,6 +23,7 @@
     "reachability": _reachability.ReachabilityPolicy,
     "relaying": _relaying.RelayPolicy,
     "ranks": _priorities.PriorityDistribution,
+    "server_limits": _server_limits.ServerLimitPolicy,
     "shedding": _shedding.SheddingPolicy,
     "warmup": _warmup.WarmupPolicy,
 }
--- a/boragegw/gateway/_call.py
+++ b/boragegw/gateway/_call.py
@@ -52,6 +52,8 @@
     :param fallback_outcome: the outcome of an attempt with an error response, which is
         passed on if no other attempt succeeds.
     :param reason: why the latest attempt failed.
+    :param retry_after: seconds until a server may take the request, if limits of the
+        servers are the reason that none has; otherwise 0.
     :param rejected_status: HTTP status by which the admission was withdrawn before an
         attempt, or 0.
     """
@@ -71,6 +73,7 @@
     last_progress_at: float | None = None
     fallback_outcome: object = None
     reason: str = ""
+    retry_after: float = 0.0
     rejected_status: int = 0
 
     @property
--- a/boragegw/gateway/_dialect.py
+++ b/boragegw/gateway/_dialect.py
@@ -81,6 +81,13 @@
     def parse_load_report(self, response, now):
         """Return the load report in any response, or ``None``."""
 
+    @abc.abstractmethod
+    def parse_server_limit(self, response):
+        """Return the requests per second that the server takes from all processes.
+
+        ``None`` if it names no valid limit; the lowest if it names several.
+        """
+
     @abc.abstractmethod
     def is_not_executed(self, response):
         """Return whether the server states that it did not execute the request."""
--- a/boragegw/gateway/_forwarder.py
+++ b/boragegw/gateway/_forwarder.py
@@ -385,7 +385,7 @@
         if status in (401, 503):
             self.admission.refund(call.admission)
         if status == 503:
-            retry_after = self.shedding.retry_after(call.route)
+            retry_after = max(self.shedding.retry_after(call.route), call.retry_after)
         self.board.counters[f"requests.failed.{status}"] += 1
         self.log.event(
             "request-failed",
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -25,6 +25,7 @@
     _relay_listener,
     _replication,
     _request,
+    _server_limits,
     _server_selector,
     _source_selector,
     _store_alarm,
@@ -90,15 +91,6 @@
         self.reach = _reach_monitor.ReachMonitor(
             self.board, policies.make("reachability"), **randomized
         )
-        self.selector = _server_selector.ServerSelector(
-            self.board,
-            self.dialect,
-            policies.make("asking", data_centre=settings.data_centre),
-            policies.make("warmup"),
-            self.reach,
-            **randomized,
-        )
-        self.reach.connect = self.selector.check_connection
         self.local_member = _peer_messages.Member(
             name=settings.name,
             incarnation=int.from_bytes(os.urandom(8), "big") >> 1,
@@ -123,6 +115,23 @@
             now=self.now,
             random_state=self.random_state,
         )
+        self.server_limits = _server_limits.ServerLimitKeeper(
+            balancing.ServerLimits(policies.make("server_limits")),
+            self.membership,
+            lambda: self.allotments.fleet,
+            counters=self.board.counters,
+            **shared,
+        )
+        self.selector = _server_selector.ServerSelector(
+            self.board,
+            self.dialect,
+            policies.make("asking", data_centre=settings.data_centre),
+            policies.make("warmup"),
+            self.reach,
+            self.server_limits,
+            **randomized,
+        )
+        self.reach.connect = self.selector.check_connection
         self.catalogue = _catalogue.Catalogue(
             self.board,
             decoder,
@@ -192,6 +201,7 @@
         self.reach.on_change = self._announce_reach
         self.membership.on_allotment = self.allotments.receive
         self.membership.on_store_notice = self.store_alarm.receive
+        self.membership.on_server_limit = self.server_limits.receive
         self.membership.on_crash = self.forwarder.sender.observe_crash
         self.forwarder.sender.broadcast_crash = self.membership.broadcast_crash
 
--- a/boragegw/gateway/_membership.py
+++ b/boragegw/gateway/_membership.py
@@ -44,8 +44,9 @@
 #: changes in the fleet, and otherwise. An update takes 20 bytes.
 CALM_SYNCHRONIZATION_RATE = 40.0
 SYNCHRONIZATION_RATE = 160.0
-#: Membership format from which processes understand a :class:`StoreNotice`.
-MIN_STORE_NOTICE_FORMAT = 3
+#: Membership format from which processes understand notices about the store and about
+#: limits of backend servers.
+MIN_NOTICE_FORMAT = 3
 
 
 class Membership(asyncio.DatagramProtocol):
@@ -60,6 +61,8 @@
     :ivar on_crash: called with the fingerprint of each :class:`CrashNotice`.
     :ivar on_allotment: called with each message about allotments.
     :ivar on_store_notice: called with each :class:`StoreNotice`.
+    :ivar on_server_limit: called with each
+        :class:`~boragegw.balancing.ServerLimitNotice`.
     """
 
     def __init__(self, board, local_member, seeds, *, now, log, random_state=None):
@@ -72,6 +75,7 @@
         self.on_crash = None
         self.on_allotment = None
         self.on_store_notice = None
+        self.on_server_limit = None
         self.roster = _roster.Roster(local_member, now=now, log=log)
         self.detector = _failure_detector.FailureDetector(
             self.roster, now=now, random_state=self.random_state
@@ -98,6 +102,7 @@
             balancing.UsageReport: self._handle_allotment,
             balancing.LimitNotice: self._handle_allotment,
             _peer_messages.StoreNotice: self._handle_store_notice,
+            balancing.ServerLimitNotice: self._handle_server_limit,
         }
 
     # Queries.
@@ -191,14 +196,18 @@
         notice = _peer_messages.CrashNotice(fingerprint)
         self.send_message(self.roster.alive(), notice)
 
-    def broadcast_store_alarm(self):
-        """Report to all live processes that the store does not answer this one."""
+    def broadcast_notice(self, notice):
+        """Send a notice to all live processes that understand it.
+
+        :param notice: a :class:`StoreNotice` or a
+            :class:`~boragegw.balancing.ServerLimitNotice`.
+        """
         targets = [
             known
             for known in self.roster.alive()
-            if known.member.membership_format >= MIN_STORE_NOTICE_FORMAT
+            if known.member.membership_format >= MIN_NOTICE_FORMAT
         ]
-        self.send_message(targets, _peer_messages.StoreNotice())
+        self.send_message(targets, notice)
 
     def send_message(self, targets, message):
         """Send a message to each :class:`KnownPeer` of ``targets``."""
@@ -405,6 +414,10 @@
         if self.on_store_notice is not None:
             self.on_store_notice(message)
 
+    def _handle_server_limit(self, message, addr):
+        if self.on_server_limit is not None:
+            self.on_server_limit(message)
+
     def _handle_updates(self, message, addr):
         for index, update in enumerate(message.updates):
             self._apply_update(update, is_sender=index == 0)
--- a/boragegw/gateway/_metrics.py
+++ b/boragegw/gateway/_metrics.py
@@ -34,6 +34,8 @@
     "attempts.failed": "attempts that ended without a whole answer",
     "probes.sent": "probes sent",
     "searches.full": "searches for a place that found no backend server with room",
+    "limits.changed": "limits of backend servers that were named, changed or ended",
+    "limits.passed_over": "servers that a search passed over because of their limits",
     "relays.sent": "requests that were relayed to another process",
     "relays.received": "requests that another process relayed to this one",
     "relays.refused": "relayed requests that this process did not take",
@@ -65,6 +67,7 @@
     "-1 if never",
     "answer_age": "seconds since the last answer of a source, -1 before the first",
     "connections": "callers' connections that are open",
+    "limited_servers": "backend servers that have named a limit",
     "services_lost": "services of which no backend server can be connected to",
 }
 HISTOGRAMS = {
--- a/boragegw/gateway/_peer_messages.py
+++ b/boragegw/gateway/_peer_messages.py
@@ -18,7 +18,8 @@
 #: Version of the format in which this process replicates records to its peers.
 REPLICA_FORMAT = 1
 #: Version of the membership protocol: processes with 0 know only heartbeats, those with
-#: 1 no messages about allotments, those with 2 no :class:`StoreNotice`.
+#: 1 no messages about allotments, those with 2 no :class:`StoreNotice`
+#: and no limits of backend servers.
 MEMBERSHIP_FORMAT = 3
 
 
@@ -186,4 +187,5 @@
     | balancing.UsageReport
     | balancing.LimitNotice
     | StoreNotice
+    | balancing.ServerLimitNotice
 )
--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -32,6 +32,8 @@
 SLOW_SERVER_TIME_SHARE = 0.7
 #: Reason of a refusal while the service is out of reach.
 UNREACHED = "no server reached"
+#: Reason of a refusal while all servers have got what their limits allow.
+LIMITED = "limits of the servers"
 
 
 class Sender:
@@ -98,7 +100,9 @@
             if rejection:
                 pool.release(selection.connection)
                 return _call.AttemptOutcome(Verdict.NOT_RUN, reason=rejection)
-            if self._is_still_valid(call, selection):
+            if self._is_still_valid(call, selection) and self.selector.limits.try_spend(
+                server
+            ):
                 break
             pool.release(selection.connection)
         else:
@@ -134,9 +138,17 @@
             outcome = await self.relay.send(call)
         if outcome is not None:
             return outcome
-        is_lost = self.selector.reach.is_lost(call.service.name)
-        reason = UNREACHED if is_lost else "no room"
-        return _call.AttemptOutcome(Verdict.NOT_RUN, reason=reason)
+        return _call.AttemptOutcome(Verdict.NOT_RUN, reason=self._refusal_reason(call))
+
+    def _refusal_reason(self, call):
+        """Return why no server was found; state in the call when one may be."""
+        service = call.service.name
+        if self.selector.reach.is_lost(service):
+            return UNREACHED
+        if not self.selector.seconds_until_permitted(service, call.tried):
+            return "no room"
+        call.retry_after = self.selector.retry_after(service)
+        return LIMITED
 
     async def _select_server(self, call, hedge):
         """Return a selection, after a short wait for free capacity if necessary."""
@@ -160,6 +172,8 @@
         queue_deadline = self._queue_deadline(call)
         unanswered_searches = 0
         while not self._is_relay_due(call):
+            if self._permitted_at(call) > queue_deadline:
+                return None
             if unanswered and unanswered_searches < MAX_UNANSWERED_SEARCHES:
                 unanswered_searches += 1
             elif queue_deadline - self.now() < self.shedding.pause:
@@ -174,6 +188,11 @@
                 return selection
         return None
 
+    def _permitted_at(self, call):
+        """Return the monotonic seconds at which limits of the servers allow a send."""
+        service = call.service.name
+        return self.now() + self.selector.seconds_until_permitted(service, call.tried)
+
     def _queue_deadline(self, call):
         urgent = call.state.ranks.is_urgent(call.priority, self.now())
         return self.shedding.hold_until(call.route, call.admitted_at, urgent)
@@ -287,8 +306,11 @@
         report = self.dialect.parse_load_report(response, now)
         if report is not None:
             server.observe_report(report)
+        is_misdirected = self.dialect.is_misdirected(response)
+        if not is_misdirected:
+            self._observe_limit(server, response, started)
         if self.dialect.is_not_executed(response):
-            if self.dialect.is_misdirected(response):
+            if is_misdirected:
                 server.moved = True
             self._observe_failure(server)
             if not response.complete:
@@ -318,6 +340,12 @@
             pool=self.selector.pool(server),
         )
 
+    def _observe_limit(self, server, response, sent_at):
+        """Apply the limit in an answer; only a server's own answer ends one."""
+        limit = self.dialect.parse_server_limit(response)
+        if limit is not None or self.dialect.is_authentic(response):
+            self.selector.limits.observe(server, limit, sent_at)
+
     async def _check_crash(self, call, server):
         if not await self.selector.has_crashed(server):
             return
--- a/boragegw/gateway/_server_selector.py
+++ b/boragegw/gateway/_server_selector.py
@@ -85,18 +85,20 @@
     :param policy: a :class:`~boragegw.balancing.ProbingPolicy`.
     :param warmup: the policy that limits requests to cold servers.
     :param reach: the :class:`ReachMonitor`.
+    :param limits: the :class:`ServerLimitKeeper`.
     :param now: function that returns monotonic seconds.
     :param log: an :class:`EventLog`.
     """
 
     def __init__(
-        self, board, dialect, policy, warmup, reach, *, now, random_state, log
+        self, board, dialect, policy, warmup, reach, limits, *, now, random_state, log
     ):
         self.board = board
         self.dialect = dialect
         self.policy = policy
         self.warmup = warmup
         self.reach = reach
+        self.limits = limits
         self.now = now
         self.random_state = random_state
         self.log = log
@@ -111,7 +113,8 @@
         :param search: a :class:`Search`.
         """
         state = search.state
-        servers = self.board.by_service.get(search.service.name, ())
+        listed = self.board.by_service.get(search.service.name, ())
+        servers = self.limits.permitted(listed)
         now = self.now()
         candidates = balancing.available_servers(
             servers, now=now, evacuated=self.board.evacuated, excluded=search.tried
@@ -171,6 +174,20 @@
                 self.pool(server).release(selection.connection)
         return None
 
+    def seconds_until_permitted(self, service, tried):
+        """Return the seconds until the limit of a server permits a request; 0 if now.
+
+        :param service: name of the service.
+        :param tried: identities of servers to exclude.
+        """
+        servers = self.board.by_service.get(service, ())
+        eligible = balancing.eligible_servers(servers, self.board.evacuated, tried)
+        return self.limits.seconds_until_permitted(eligible)
+
+    def retry_after(self, service):
+        """Return the seconds in which the limited servers can take one request more."""
+        return self.limits.retry_after(self.board.by_service.get(service, ()))
+
     def _cold_candidates(self, servers, tried, now):
         allowed = balancing.eligible_servers(servers, self.board.evacuated, tried)
         candidates = [server for server in allowed if server.is_cold(now)]
@@ -366,6 +383,9 @@
             return None
         if health.report is not None:
             server.observe_report(health.report)
+        limit = self.dialect.parse_server_limit(response)
+        if limit is not None:
+            self.limits.observe(server, limit, now)
         if health.cold_for is not None:
             server.cold_until = now + health.cold_for
         if not health.healthy:
--- a/boragegw/gateway/_store_alarm.py
+++ b/boragegw/gateway/_store_alarm.py
@@ -9,7 +9,7 @@
 import asyncio
 import math
 
-from boragegw.gateway import _sources
+from boragegw.gateway import _peer_messages, _sources
 
 #: Share of the time within which a configuration has to be in force for which an answer
 #: of the store may be overdue.
@@ -74,7 +74,7 @@
     def _raise(self, overdue):
         self.counters["store.alarms"] += 1
         self.log.event("store-overdue", seconds=round(overdue, 3))
-        self.membership.broadcast_store_alarm()
+        self.membership.broadcast_notice(_peer_messages.StoreNotice())
         self._start_check()
 
     def receive(self, notice):
--- a/boragegw/platform/_dialect.py
+++ b/boragegw/platform/_dialect.py
@@ -1,5 +1,7 @@
 """Formats requests and interprets responses as the platform defines them."""
 
+import re
+
 from boragegw import accounts, balancing, gateway
 from boragegw.platform import _wire_names
 
@@ -23,6 +25,7 @@
     )
 )
 MISDIRECTED_REQUEST = 421
+DECIMAL_NUMBER = re.compile(rb"[0-9]{1,15}(\.[0-9]{1,15})?")
 REASON_PHRASES = {
     400: "Bad Request",
     401: "Unauthorized",
@@ -122,6 +125,12 @@
             running, waiting, slots, max(0.01, percent / 100.0), now
         )
 
+    def parse_server_limit(self, response):
+        """Return the lowest limit that any response names, or ``None``."""
+        texts = (v for n, v in response.headers if n == _wire_names.SERVER_LIMIT)
+        limits = map(_parse_decimal, texts)
+        return min((limit for limit in limits if limit is not None), default=None)
+
     def is_not_executed(self, response):
         """Return whether the backend server reports that it did not execute it."""
         return response.status == MISDIRECTED_REQUEST or (
@@ -186,6 +195,11 @@
         return None
 
 
+def _parse_decimal(text):
+    """Return a decimal number that is not negative, ``None`` for any other text."""
+    return float(text) if DECIMAL_NUMBER.fullmatch(text.strip()) else None
+
+
 def _connection_options(headers):
     """Return the header names that the Connection header declares hop-by-hop."""
     names = set()
--- a/boragegw/platform/_wire_names.py
+++ b/boragegw/platform/_wire_names.py
@@ -13,6 +13,8 @@
 #: "running,waiting,slots[,percent]": percent is the current service time relative to
 #: the usual one, which is 100.
 LOAD_REPORT = b"x-backend-load"
+#: Requests a second that the backend server takes from all processes together.
+SERVER_LIMIT = b"server-limit"
 #: Milliseconds until the backend server has warmed up.
 WARM_UP_MS = b"x-warmup-ms"
 
