--- a/boragegw/accounts/__init__.py
+++ b/boragegw/accounts/__init__.py
@@ -5,6 +5,7 @@
     AccountTable,
     ClientAccount,
     CredentialsError,
+    MissingCredentialsError,
     bearer_key,
     key_digest,
 )
@@ -14,6 +15,7 @@
     "AccountTable",
     "ClientAccount",
     "CredentialsError",
+    "MissingCredentialsError",
     "bearer_key",
     "key_digest",
 ]
--- a/boragegw/accounts/_accounts.py
+++ b/boragegw/accounts/_accounts.py
@@ -15,6 +15,10 @@
     """
 
 
+class MissingCredentialsError(CredentialsError):
+    """A request has no credentials at all."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClientAccount:
     """A client account of the active configuration.
@@ -84,6 +88,8 @@
     :param values: values of all Authorization headers in bytes.
     :raises CredentialsError: if there is not exactly one, in this form.
     """
+    if not values:
+        raise MissingCredentialsError("no Authorization header")
     if len(values) != 1:
         raise CredentialsError(f"{len(values)} Authorization headers")
     scheme, _, key = values[0].strip(b" \t").partition(b" ")
--- a/boragegw/gateway/_admission.py
+++ b/boragegw/gateway/_admission.py
@@ -40,17 +40,26 @@
     :param retry_after: seconds after which the caller may retry, or ``None``.
     :param detail: more about the reason, for the log.
     :param is_final: whether a later configuration cannot change the decision.
+    :param is_early: whether the request is refused before its body arrives, although a
+        later configuration may change the decision.
     :param fields: figures behind the decision by name, for the log.
     """
 
     def __init__(
-        self, rejection, retry_after=None, detail="", is_final=False, fields=None
+        self,
+        rejection,
+        retry_after=None,
+        detail="",
+        is_final=False,
+        is_early=False,
+        fields=None,
     ):
         super().__init__(detail or rejection.counter)
         self.rejection = rejection
         self.retry_after = retry_after
         self.detail = detail
         self.is_final = is_final
+        self.is_early = is_early
         self.fields = fields or {}
 
 
@@ -135,6 +144,14 @@
             },
         )
 
+    def lacks_credentials(self, request):
+        """Return whether the configuration in force requires other credentials."""
+        try:
+            self._identify(request, self._match(request))
+        except RejectedError as error:
+            return error.rejection is Rejection.UNAUTHORIZED
+        return False
+
     def refund(self, admission):
         """Take back an admission whose request has not run."""
         account = admission.identity.account
@@ -164,8 +181,12 @@
         except accounts.CredentialsError as error:
             if route.anonymous:
                 return CallerIdentity(has_accounts=True)
+            is_missing = isinstance(error, accounts.MissingCredentialsError)
             raise RejectedError(
-                Rejection.UNAUTHORIZED, detail=str(error), is_final=True
+                Rejection.UNAUTHORIZED,
+                detail=str(error),
+                is_final=not is_missing,
+                is_early=is_missing,
             ) from error
         account = table.find(accounts.key_digest(key))
         if account is None and not route.anonymous:
--- a/boragegw/gateway/_admission_gate.py
+++ b/boragegw/gateway/_admission_gate.py
@@ -61,7 +61,7 @@
             no_route = error.rejection is Rejection.NO_ROUTE
             if no_route:
                 return 0
-            if self._may_be_outdated(error):
+            if self._may_be_outdated(error) and not error.is_early:
                 if self.confirmer.request():
                     return 0
                 error = self._behind_error()
@@ -74,6 +74,13 @@
         retry_after = max(RETRY_BEHIND, self.confirmer.retry_after)
         return _admission.RejectedError(Rejection.BEHIND, retry_after)
 
+    async def confirm_refusal(self, request):
+        """Return whether a request without credentials certainly needs some."""
+        if self.currency.is_unreadable():
+            return True
+        is_current = await self.confirmer.confirm_current()
+        return is_current and self.admission.lacks_credentials(request)
+
     async def admit(self, request):
         """Store the admission of a request that has none yet.
 
@@ -135,9 +142,11 @@
 
         Guards against a 401 or 404 for a key or route that other processes have in
         force already. Only a process that knows the latest configuration can tell that
-        it does not exist.
+        it does not exist. One that cannot be read never lifts the need of credentials.
         """
-        return not error.is_final and not self.currency.is_current()
+        if error.is_final or self.currency.is_current():
+            return False
+        return not (error.is_early and self.currency.is_unreadable())
 
     def record_rejection(self, request, error):
         """Count and log a request that is not admitted.
--- a/boragegw/gateway/_caller_connection.py
+++ b/boragegw/gateway/_caller_connection.py
@@ -12,8 +12,8 @@
 #: Seconds without data until which the rest of a refused request is read and discarded.
 #: Closing earlier would reset the connection before the caller has read the refusal.
 LINGER_TIMEOUT = 0.5
-#: Retry-After in seconds for a request over limits that may be outdated.
-RETRY_UNCERTAIN_LIMITS = 0.3
+#: Retry-After in seconds for a request that a later configuration may permit.
+RETRY_UNCERTAIN_REFUSAL = 0.3
 
 
 class CallerConnection(asyncio.Protocol):
@@ -21,8 +21,9 @@
 
     :param gateway: has ``now``, ``limits``, ``stopping``, ``body_memory``,
         ``check_head(request)``, ``error_response(status, request)``,
-        ``log_error(error)`` and the coroutines ``confirm_limits()`` and
-        ``serve(request, writer)``.
+        ``log_error(error)`` and the coroutines ``confirm_limits()``,
+        ``confirm_refusal(request)`` and ``serve(request, writer)``. An owner whose
+        ``check_head`` never returns 401 needs no ``confirm_refusal``.
     """
 
     def __init__(self, gateway):
@@ -273,14 +274,22 @@
         """Write the refusal of a request that was refused before it was complete.
 
         Guards against a final refusal for its size by limits that the operator has
-        raised, or that are merely the defaults of a process without a configuration.
+        raised, or that are merely the defaults of a process without a configuration,
+        and against one for lack of credentials on a route that needs none any more.
         """
-        is_for_size = request.refused_status in _head_checks.SIZE_STATUSES
-        if is_for_size and not await self._are_limits_final(request.refused_by):
+        if not await self._is_refusal_final(request):
             request.refused_status = 503
-            request.retry_after = RETRY_UNCERTAIN_LIMITS
+            request.retry_after = RETRY_UNCERTAIN_REFUSAL
         self.write(self.gateway.error_response(request.refused_status, request))
 
+    async def _is_refusal_final(self, request):
+        """Return whether the latest configuration refuses a request as well."""
+        if request.refused_status in _head_checks.SIZE_STATUSES:
+            return await self._are_limits_final(request.refused_by)
+        if request.refused_status == 401:
+            return await self.gateway.confirm_refusal(request)
+        return True
+
     async def _are_limits_final(self, limits):
         """Return whether ``limits`` are certainly in force, which may take a moment."""
         return await self.gateway.confirm_limits() and limits == self.gateway.limits
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -268,6 +268,10 @@
         is_configured = self.board.configuration is not None
         return is_configured and await self.confirmer.confirm_current()
 
+    async def confirm_refusal(self, request):
+        """Return whether a request without credentials certainly needs some."""
+        return await self.forwarder.gate.confirm_refusal(request)
+
     @property
     def stopping(self):
         """Whether a graceful shutdown has begun."""
--- a/boragegw/platform/tests/test_final_refusals.py
+++ b/boragegw/platform/tests/test_final_refusals.py
@@ -271,6 +271,25 @@
     assert 401 not in statuses
 
 
+@in_memory
+async def test_upload_without_a_key_is_not_denied_at_its_head_by_a_cut_process():
+    """Guards against a 401 before the body, on a route that needs no key any more."""
+    installation = await start_settled_installation(gateways=3)
+    accounts = [installation.account("a", "key-a")]
+    installation.publish([installation.route()], accounts=accounts)
+    await asyncio.sleep(SETTLING_SECONDS)
+    lines = test_api_keys.raw_lines(b"Content-Length: 1000000", method="POST")
+    known = await test_api_keys.send_raw(installation, lines, to="gw-1", wait=0.1)
+    assert known.startswith(b"HTTP/1.1 401 ")
+    isolate(installation, ["gw-1"])
+    installation.publish([installation.route(anonymous=True)], accounts=accounts)
+    for _ in MOMENTS:
+        await asyncio.sleep(APPLY_SECONDS + 0.1)
+        reply = await test_api_keys.send_raw(installation, lines, to="gw-1", wait=1.0)
+        assert reply.startswith(b"HTTP/1.1 503 ")
+        assert installation.processes["gw-1"].body_memory.used_bytes == 0
+
+
 @in_memory
 async def test_upload_with_an_unknown_key_is_refused_at_its_head_by_a_cut_process():
     """Bodies that only end in a 503 would fill the memory."""
