Sender: limits of servers end no wait that they do not cause

Cause: the check for limits compared the present moment with the end of the wait, also where no server had a limit. It applies only if limits make a request wait.

--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -100,9 +100,8 @@
             if rejection:
                 pool.release(selection.connection)
                 return _call.AttemptOutcome(Verdict.NOT_RUN, reason=rejection)
-            if self._is_still_valid(call, selection) and self.selector.limits.try_spend(
-                server
-            ):
+            is_valid = self._is_still_valid(call, selection)
+            if is_valid and self.selector.limits.try_spend(server):
                 break
             pool.release(selection.connection)
         else:
@@ -172,7 +171,7 @@
         queue_deadline = self._queue_deadline(call)
         unanswered_searches = 0
         while not self._is_relay_due(call):
-            if self._permitted_at(call) > queue_deadline:
+            if self._is_limited_until(call, queue_deadline):
                 return None
             if unanswered and unanswered_searches < MAX_UNANSWERED_SEARCHES:
                 unanswered_searches += 1
@@ -188,10 +187,11 @@
                 return selection
         return None
 
-    def _permitted_at(self, call):
-        """Return the monotonic seconds at which limits of the servers allow a send."""
+    def _is_limited_until(self, call, end):
+        """Return whether limits of the servers permit no send before ``end``."""
         service = call.service.name
-        return self.now() + self.selector.seconds_until_permitted(service, call.tried)
+        wait = self.selector.seconds_until_permitted(service, call.tried)
+        return wait > 0 and self.now() + wait > end
 
     def _queue_deadline(self, call):
         urgent = call.state.ranks.is_urgent(call.priority, self.now())
