Store alarm: processes with slower links check the store too, and full reads can be overdue

Only the fastest machines of a data centre were asked after an alarm: on sites with few fast links all of these may be cut at once. Processes are ranked by link and hash now; the watchers stay the same ones. A full read of the store that does not begin raises the alarm as a watch does: the next watcher may be silent as well. Read, not shown: the new test (three fast machines, all cut) passes without the ranking too, since the cut ones give way within a second; it keeps the bound.

--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -221,6 +221,8 @@
             return
         name, result = response
         self._source_name = name
+        if name is None:
+            self.store_delay = max(0.0, self.now() - self._due_at)
         self._handle_success(name)
         self._watch_seconds = min(2 * self._watch_seconds, MAX_WATCH_SECONDS)
         self._reread_backoff = 0.0
@@ -244,6 +246,8 @@
     async def _reread(self, name, source):
         self._is_rereading = True
         self._bytes_at_start = self._bytes_received()
+        if name is None:
+            self._due_at = self._read_started_at
         try:
             response = await self._read_hedged(name, source, lambda s: s.read_all())
         finally:
@@ -285,7 +289,6 @@
         if name is not None:
             return
         self._must_ask = False
-        self.store_delay = max(0.0, self.now() - self._due_at)
         self._due_at = math.inf
         self.store_access.observe_answer()
 
--- a/boragegw/gateway/_source_selector.py
+++ b/boragegw/gateway/_source_selector.py
@@ -131,9 +131,7 @@
         return {
             name
             for data_centre, group in groups.items()
-            for name in utils.rendezvous_rank(
-                data_centre, _names_with_fastest_link(group)
-            )[:count]
+            for name in _ranked_names(data_centre, group)[:count]
         }
 
     def best_peer(self):
@@ -220,12 +218,13 @@
         return name is None and self.best_peer() is not None
 
 
-def _names_with_fastest_link(members):
-    """Return the names of the members with the fastest links.
+def _ranked_names(data_centre, members):
+    """Return the names of the members, those with the fastest links first.
 
     Guards against a watcher on a slow link: through a link of 5 Mbit/s the first read
     of 276 servers by the other processes took seconds, and they all read the store
     instead.
     """
-    fastest = max(member.link_mbps for member in members)
-    return [member.name for member in members if member.link_mbps == fastest]
+    ranked = utils.rendezvous_rank(data_centre, members, identity=lambda m: m.name)
+    ranked.sort(key=lambda member: -member.link_mbps)
+    return [member.name for member in ranked]
--- a/boragegw/platform/tests/test_silent_store.py
+++ b/boragegw/platform/tests/test_silent_store.py
@@ -75,6 +75,25 @@
     assert await outdated_after(installation, cut, apply_seconds) == []
 
 
+@in_memory
+async def test_processes_with_slow_links_ask_a_silent_store_too():
+    """Guards against a check by the few fast machines, all of which are cut."""
+    installation = standins.WireInstallation()
+    await installation.store.start()
+    installation.publish([installation.route()])
+    await installation.add_backend("i-0")
+    fast = ["gw-0", "gw-1", "gw-2"]
+    for number in range(PROCESSES):
+        rate = 1000.0 if number < len(fast) else 200.0
+        centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        await installation.add_gateway(f"gw-{number}", centre, link_mbps=rate)
+    await asyncio.sleep(30.0)
+    assert sorted(watchers(installation)) == fast
+    separate(installation, fast, standins.PartitionMode.SILENT)
+    apply_seconds = test_store_cuts.APPLY_SECONDS
+    assert await outdated_after(installation, fast, apply_seconds) == []
+
+
 @in_memory
 @pytest.mark.parametrize("pause", [3.0, 5.0, 9.0])
 @pytest.mark.parametrize("outage", [0.5, 1.4, 3.3, 6.0])
