--- a/boragegw/entry/_caller_application.py
+++ b/boragegw/entry/_caller_application.py
@@ -8,6 +8,7 @@
 import litestar
 import litestar.exceptions
 import litestar.types
+from litestar import params
 
 from boragegw import errors, messages
 from boragegw.entry import _caller_connection, _entry_directory
@@ -50,7 +51,9 @@
 
         @litestar.get("/v1/entries", sync_to_thread=False)
         def entries(
-            request: litestar.Request, service: str, data_centre: str = ""
+            request: litestar.Request,
+            service: params.FromQuery[str],
+            data_centre: params.FromQuery[str] = "",
         ) -> litestar.Response:
             return self._entries(request, service, data_centre)
 
--- a/boragegw/operations/_application.py
+++ b/boragegw/operations/_application.py
@@ -4,6 +4,7 @@
 import json
 
 import litestar
+from litestar import params
 
 from boragegw.operations import _status
 
@@ -86,7 +87,7 @@
             return self._status()
 
         @litestar.get("/ops/explain/{request_id:str}", sync_to_thread=False)
-        def explain(request_id: str) -> litestar.Response:
+        def explain(request_id: params.FromPath[str]) -> litestar.Response:
             record = _status.explain_request(self.board, request_id)
             if record is None:
                 problem = {"detail": f"request {request_id!r} is not remembered here"}
--- a/boragegw/standins/_platform.py
+++ b/boragegw/standins/_platform.py
@@ -4,6 +4,7 @@
 import json
 
 import litestar
+from litestar import params
 
 from boragegw import configuration
 from boragegw.server import _listener
@@ -144,19 +145,23 @@
             return self._reply(state.served_head()[1])
 
         @litestar.get("/v1/configuration/watch")
-        async def watch(after: int, timeout: float) -> litestar.Response:
+        async def watch(
+            after: params.FromQuery[int], timeout: params.FromQuery[float]
+        ) -> litestar.Response:
             await self._delay_read()
             if not state.outage:
                 await state.wait_for(lambda: state.served_head()[0] > after, timeout)
             return self._reply(state.served_head()[1])
 
         @litestar.get("/v1/configuration/documents/{name:str}")
-        async def document(name: str) -> litestar.Response:
+        async def document(name: params.FromPath[str]) -> litestar.Response:
             await self._delay_read()
             return self._reply(state.served_document(name))
 
         @litestar.get("/v1/vms/watch")
-        async def vms(after: int, timeout: float) -> litestar.Response:
+        async def vms(
+            after: params.FromQuery[int], timeout: params.FromQuery[float]
+        ) -> litestar.Response:
             await self._delay_read()
             if not state.outage:
                 await state.wait_for(lambda: state.version > after, timeout)
