--- a/boragegw/balancing/_server_limits.py
+++ b/boragegw/balancing/_server_limits.py
@@ -57,7 +57,7 @@
     told_at: float = -math.inf
     asked_at: float = -math.inf
 
-    def is_asked_for(self, rank, processes, now):
+    def may_ask(self, rank, processes, now):
         """Return whether this process may ask now if the limit still holds.
 
         While nobody has heard of the limit for long, the processes take turns, so that
@@ -157,7 +157,7 @@
         self._refill(named, rank, fleet, now)
         if named.bucket.tokens >= 1.0:
             return True
-        return named.is_asked_for(rank, len(fleet.data_centres), now)
+        return named.may_ask(rank, len(fleet.data_centres), now)
 
     def try_spend(self, server, fleet, now):
         """Take a token for a request to ``server``; return whether there was one."""
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -115,7 +115,7 @@
             now=self.now,
             random_state=self.random_state,
         )
-        self.server_limits = _server_limits.ServerLimitKeeper(
+        self.server_limits = _server_limits.ServerLimitExchange(
             balancing.ServerLimits(policies.make("server_limits")),
             self.membership,
             lambda: self.allotments.fleet,
--- a/boragegw/gateway/_server_limits.py
+++ b/boragegw/gateway/_server_limits.py
@@ -1,7 +1,7 @@
 """Keeps the limits of backend servers, and tells the other processes of them."""
 
 
-class ServerLimitKeeper:
+class ServerLimitExchange:
     """Decides whether a server may get a request, and exchanges limits with the others.
 
     :param limits: a :class:`~boragegw.balancing.ServerLimits`.
--- a/boragegw/gateway/_server_selector.py
+++ b/boragegw/gateway/_server_selector.py
@@ -85,7 +85,7 @@
     :param policy: a :class:`~boragegw.balancing.ProbingPolicy`.
     :param warmup: the policy that limits requests to cold servers.
     :param reach: the :class:`ReachMonitor`.
-    :param limits: the :class:`ServerLimitKeeper`.
+    :param limits: the :class:`ServerLimitExchange`.
     :param now: function that returns monotonic seconds.
     :param log: an :class:`EventLog`.
     """
