--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -201,6 +201,7 @@
         self.reach.on_change = self._announce_reach
         self.membership.on_allotment = self.allotments.receive
         self.membership.on_store_notice = self.store_alarm.receive
+        self.follower.store_access.on_lost = self.store_alarm.notify
         self.membership.on_server_limit = self.server_limits.receive
         self.membership.on_crash = self.forwarder.sender.observe_crash
         self.forwarder.sender.broadcast_crash = self.membership.broadcast_crash
--- a/boragegw/gateway/_metrics.py
+++ b/boragegw/gateway/_metrics.py
@@ -42,7 +42,7 @@
     "relays.failed": "relays that ended without an answer",
     "reach.checks": "checks whether the servers of a service can be connected to",
     "store.calls": "calls to the platform's store, a watch as one",
-    "store.alarms": "answers of the store that were overdue, reported to all processes",
+    "store.alarms": "notices to all processes that the store does not answer this one",
     "store.peer_reads": "reads from a process that watches the store",
     "confirmations.asked": "questions whether the configuration in force is the latest",
     "confirmations.failed": "of these, questions without an answer",
--- a/boragegw/gateway/_store_access.py
+++ b/boragegw/gateway/_store_access.py
@@ -20,6 +20,7 @@
     :param membership: the :class:`Membership`.
     :param selector: the :class:`SourceSelector`.
     :param store: the platform's store, a :class:`Source`.
+    :ivar on_lost: called when a read shows that the store is lost.
     """
 
     def __init__(
@@ -32,6 +33,7 @@
         self.now = now
         self.random_state = random_state
         self.log = log
+        self.on_lost = None
         self._failures = 0
 
     @property
@@ -53,7 +55,10 @@
         self._failures += 1
         if self._failures < MAX_STORE_FAILURES:
             return False
+        was_lost = self.is_lost
         self.mark_lost(error)
+        if not was_lost and self.on_lost is not None:
+            self.on_lost()
         return True
 
     def mark_lost(self, error):
--- a/boragegw/gateway/_store_alarm.py
+++ b/boragegw/gateway/_store_alarm.py
@@ -72,11 +72,19 @@
             self._raise(self.now() - due_at)
 
     def _raise(self, overdue):
-        self.counters["store.alarms"] += 1
         self.log.event("store-overdue", seconds=round(overdue, 3))
-        self.membership.broadcast_notice(_peer_messages.StoreNotice())
+        self.notify()
         self._start_check()
 
+    def notify(self):
+        """Notify the other processes that the store does not answer this one.
+
+        Also once the store is lost: otherwise successors would find out one after the
+        other whether it answers them.
+        """
+        self.counters["store.alarms"] += 1
+        self.membership.broadcast_notice(_peer_messages.StoreNotice())
+
     def receive(self, notice):
         """Check the store after the :class:`StoreNotice` of another process."""
         self.follower.doubt_sources()
