--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -54,6 +54,7 @@
     :param board: the :class:`Blackboard`.
     :param log: an :class:`EventLog`.
     :param now: function that returns monotonic seconds.
+    :ivar started_at: monotonic seconds of the start of the process.
     """
 
     def __init__(
@@ -76,7 +77,7 @@
         self.board = board
         self.connections = set()
         self.body_memory = _request.BodyMemory()
-        self._started_at = now()
+        self.started_at = now()
         self._seeds = settings.seeds
         self._default_limits = balancing.CallerLimits()
         self._listeners = []
@@ -229,7 +230,7 @@
             settings.retry_budget_ratio,
             settings.retry_budget_slack,
             settings.retry_budget_window,
-            started_at=self._started_at,
+            started_at=self.started_at,
         )
 
     def _make_allotment_policy(self, policies):
@@ -239,7 +240,7 @@
             window=settings.quota_window,
             overshoot=settings.quota_overshoot,
             slack=settings.quota_slack,
-            started_at=self._started_at,
+            started_at=self.started_at,
             incarnation=self.local_member.incarnation,
         )
 
