Store alarm: checks are tasks of a TaskSet, as elsewhere

The module wrote again how a background task is referenced and logged on failure, which utils.TaskSet does (the sender's crash checks use it). The number of checkers has its reason. Read-through; 60 tests of silent stores, cuts, the soak and events pass.

--- a/boragegw/gateway/_store_alarm.py
+++ b/boragegw/gateway/_store_alarm.py
@@ -6,9 +6,9 @@
 that it answers watch it for some time, so that their peers can follow them.
 """
 
-import asyncio
 import math
 
+from boragegw import utils
 from boragegw.gateway import _peer_messages, _sources
 
 #: Share of the time within which a configuration has to be in force for which an answer
@@ -24,7 +24,8 @@
 #: between two checks at least.
 CHECK_TIMEOUT_SECONDS = 1.0
 CHECK_INTERVAL_SECONDS = 1.0
-#: Processes of each data centre that check the store after an alarm.
+#: Processes of each data centre that check the store after an alarm: enough that the
+#: store answers some although it fails most, and few in a fleet of any size.
 CHECKERS_PER_DATA_CENTRE = 6
 
 
@@ -52,7 +53,7 @@
         self._overdue_checks = 0
         self._raised_for = math.inf
         self._checked_at = -math.inf
-        self._task = None
+        self._store_checks = utils.TaskSet()
 
     def check(self):
         """Raise the alarm if an answer is overdue; to be called often."""
@@ -92,18 +93,12 @@
             self._start_check()
 
     def _start_check(self):
-        if self._task is not None or not self.selector.reads_store:
+        if self._store_checks or not self.selector.reads_store:
             return
         if self.now() < self._checked_at + CHECK_INTERVAL_SECONDS:
             return
         self._checked_at = self.now()
-        self._task = asyncio.get_running_loop().create_task(self._check_store())
-        self._task.add_done_callback(self._on_task_done)
-
-    def _on_task_done(self, task):
-        self._task = None
-        if not task.cancelled() and task.exception() is not None:
-            self.log.event("task-failed", error=repr(task.exception()))
+        self._store_checks.start(self._check_store(), "store check")
 
     async def _check_store(self):
         try:
