--- a/review/standins.py
+++ b/review/standins.py
@@ -276,11 +276,11 @@
                         "content-length: 0\r\n\r\n"
                     ).encode()
                 )
-            elif not await self._serve(method, target, headers, body, writer):
+            elif not await self._serve(method, target, headers, body, reader, writer):
                 return
             await writer.drain()
 
-    async def _serve(self, method, target, headers, body, writer):
+    async def _serve(self, method, target, headers, body, reader, writer):
         """Serve a request; return whether the connection stays open."""
         request_id = headers.get("x-request-id", "")
         expected = headers.get("x-expect-instance", "")
@@ -318,12 +318,23 @@
                     body=len(body),
                 )
                 self.at_work[request_id] = target
-                await asyncio.sleep(self.work_s)
+                if not await self._work(reader):
+                    self.record("dropped", id=request_id, backend=self.identity)
+                    return False
             finally:
                 self.running -= 1
                 self.at_work.pop(request_id, None)
         return await self.answer(request_id, target, headers, writer)
 
+    async def _work(self, reader):
+        """Work on a request; return whether its connection is open to the end."""
+        end = time.monotonic() + self.work_s
+        while (left := end - time.monotonic()) > 0:
+            if reader.at_eof():
+                return False
+            await asyncio.sleep(min(0.02, left))
+        return True
+
     def signed_head(self, request_id):
         """Return the head of a success without its framing."""
         return (
