Decoding: input that no decoder can read costs only itself, and ends no process

Cause: msgspec raises RecursionError, neither DecodeError nor ValueError, for values that are nested about 1,000 levels deep, valid or not, also in fields that it skips. Each place that decodes had a list of exceptions of its own, none with this one. The exception ended the task that follows the store, and _on_task_done ended the process for any failed task. Ruled out: that the bytes must be unreadable (valid lists and objects do the same), that it hangs on entries (the configuration does the same).

Class: bytes from outside for which a decoder raises what nobody listed, and an error of one item that ends what all others need. At fault: entries, configuration and its parts, bodies of the store, integers over 64 bits (slots, seq, born, version, revisions), replication and its confirmations, relay headers, the settings file and its numbers, and of the own interface documents, lists of VMs, bundles, key tables and forwarding headers. Datagrams went to the event loop, which logged them without bounds.

Deep values of a configuration become null, in linear time. The catalogue applies each record on its own. A supervisor logs, counts and restarts tasks that fail; what nothing handles goes to the same line and counter. Log texts are cut at 500 characters. In tests an error of a background task still fails the test: run_in_memory checks for it, where the process's end did so before; test_data_centres asserts the counter beside the tasks.

--- a/boragegw/cli/_platform.py
+++ b/boragegw/cli/_platform.py
@@ -4,10 +4,12 @@
 import json
 import pathlib
 
-from boragegw import configuration, errors, standins
+from boragegw import configuration, errors, standins, utils
 
 POLL_SECONDS = 0.2
 
+_json = utils.InputDecoder(json.loads)
+
 
 def add_parser(commands):
     """Add the ``platform`` command to the subparsers."""
@@ -55,10 +57,10 @@
     if published.revision > state.revision:
         state.replace(published.revision, published.documents)
     if published.vms is not None:
-        data = json.loads(published.vms)
-        configuration.parse_vm_list(published.vms)
-        if data["version"] > state.version:
+        version, _ = configuration.parse_vm_list(published.vms)
+        if version > state.version:
+            data = _json.decode(published.vms)
             state.vms = {row["name"]: row for row in data["vms"]}
             # bump_vms_version() increments the version.
-            state.version = data["version"] - 1
+            state.version = version - 1
             state.bump_vms_version()
--- a/boragegw/configuration/_documents.py
+++ b/boragegw/configuration/_documents.py
@@ -7,7 +7,7 @@
 
 import pydantic
 
-from boragegw import accounts, blackboard, errors
+from boragegw import accounts, blackboard, errors, utils
 from boragegw.configuration import _jsonc, _settings
 
 HEAD = "head"
@@ -245,10 +245,17 @@
             source, "size", f"{len(raw)} bytes, expected at most {limit}"
         )
     try:
-        data = json.loads(raw)
-    except ValueError as error:
+        data = _json.decode(raw)
+    except utils.MalformedInputError as error:
         raise errors.ConfigurationError(source, "syntax", str(error)) from error
-    return _jsonc.validate_model(model, data, source)
+    try:
+        return _jsonc.validate_model(model, data, source)
+    except RecursionError as error:
+        reason = "values are nested too deeply"
+        raise errors.ConfigurationError(source, "syntax", reason) from error
+
+
+_json = utils.InputDecoder(json.loads)
 
 
 def parse_head(raw):
--- a/boragegw/configuration/_jsonc.py
+++ b/boragegw/configuration/_jsonc.py
@@ -5,12 +5,14 @@
 import pydantic
 import pyjson5
 
-from boragegw import errors
+from boragegw import errors, utils
 
 #: Keys of data that no error message shows.
 SECRET_KEYS = {"api_keys"}
 NOT_SHOWN = "(not shown)"
 
+_json5 = utils.InputDecoder(pyjson5.decode)
+
 
 def load_jsonc(path):
     """Return the parsed content of a file in JSON with comments.
@@ -24,9 +26,10 @@
     except OSError as error:
         raise errors.ConfigurationError(path, "file", error.strerror) from error
     try:
-        return pyjson5.decode(text)
-    except pyjson5.Json5Exception as error:
-        message = str(error.args[0]) if error.args else type(error).__name__
+        return _json5.decode(text)
+    except utils.MalformedInputError as error:
+        cause = error.__cause__
+        message = str(cause.args[0]) if cause.args else type(cause).__name__
         raise errors.ConfigurationError(path, "syntax", message) from error
 
 
--- a/boragegw/controllers/_configuration.py
+++ b/boragegw/controllers/_configuration.py
@@ -207,9 +207,15 @@
             self._record_platform_result(None)
         except errors.PlatformError as error:
             self._record_platform_result(error)
-            await self.sleep(
-                FAILURE_BACKOFF_SECONDS * (0.5 + self.random_state.random())
-            )
+            await self._back_off()
+        except Exception:
+            # What the platform returned has caused it; the next step may succeed.
+            self.board.counters["platform.failures"] += 1
+            logger.exception("handling a response of the platform failed")
+            await self._back_off()
+
+    async def _back_off(self):
+        await self.sleep(FAILURE_BACKOFF_SECONDS * (0.5 + self.random_state.random()))
 
     def _record_platform_result(self, error):
         """Count failures; log only the first failure and the recovery."""
--- a/boragegw/decisions/_leases.py
+++ b/boragegw/decisions/_leases.py
@@ -5,12 +5,13 @@
 """
 
 import base64
-import binascii
 import dataclasses
 import hashlib
 import hmac
 import struct
 
+from boragegw import utils
+
 _FIELDS = struct.Struct(">Qdd")
 _MAC_BYTES = 12
 MAX_KEY_CHARACTERS = 255
@@ -56,10 +57,8 @@
     def decode(self, text):
         """Return the lease in ``text``, or ``None`` if it is invalid."""
         try:
-            raw = base64.b64decode(
-                text + "=" * (-len(text) % 4), altchars=b"-_", validate=True
-            )
-        except (binascii.Error, ValueError):
+            raw = _lease_texts.decode(text)
+        except utils.MalformedInputError:
             return None
         payload, mac = raw[:-_MAC_BYTES], raw[-_MAC_BYTES:]
         if len(payload) <= _FIELDS.size:
@@ -71,6 +70,14 @@
         return Lease(incarnation, address, issued, expires)
 
 
+def _decode_base64(text):
+    padded = text + "=" * (-len(text) % 4)
+    return base64.b64decode(padded, altchars=b"-_", validate=True)
+
+
+_lease_texts = utils.InputDecoder(_decode_base64)
+
+
 def split_key(key):
     """Return the text of the lease and the unique part of a key.
 
--- a/boragegw/gateway/_catalogue.py
+++ b/boragegw/gateway/_catalogue.py
@@ -218,14 +218,23 @@
     def _merge_retained(self, records):
         merged = 0
         for record in records:
-            listing = self.decoder.decode_server(record)
-            if listing is None:
-                continue
-            if self._registry.merge_retained(_server_reports.Report(record, listing)):
-                merged += 1
-                self._replace_by_retained(record)
+            try:
+                merged += self._merge_one_retained(record)
+            except Exception as error:
+                self._observe_failure(record, error)
         return merged
 
+    def _merge_one_retained(self, record):
+        """Apply a record that another process retains; return whether it was newer."""
+        listing = self.decoder.decode_server(record)
+        if listing is None:
+            return False
+        report = _server_reports.Report(record, listing)
+        is_newer = self._registry.merge_retained(report)
+        if is_newer:
+            self._replace_by_retained(record)
+        return is_newer
+
     def _replace_by_retained(self, record):
         """Replace the store's record by a newer report, if the store has one."""
         known = self._records.get(record.key)
@@ -240,11 +249,23 @@
             self._delete(record)
             return
         self._history.remove_deletion(record.key)
-        record = self._apply_value(record)
+        try:
+            record = self._apply_value(record)
+        except Exception as error:
+            self._observe_failure(record, error)
         self._records[record.key] = record
         if record.retained:
             self._retained[record.key] = record
 
+    def _observe_failure(self, record, error):
+        """Log and count that a record could not be applied; the others are.
+
+        Guards against a record that all processes get, and that keeps each of them
+        from everything else that the store holds.
+        """
+        self.board.counters["tasks.failed"] += 1
+        self.log.event("record-failed", key=record.key, error=repr(error))
+
     def _delete(self, record):
         self._records.pop(record.key, None)
         self._previous.pop(record.key, None)
--- a/boragegw/gateway/_event_log.py
+++ b/boragegw/gateway/_event_log.py
@@ -10,6 +10,8 @@
 LINES_PER_SECOND = 20
 #: Bytes that are buffered while the reader of the log does not read.
 BACKLOG_BYTES = 256 * 1024
+#: Characters of a text from outside, such as a reason or an address, that are written.
+MAX_TEXT_LENGTH = 500
 
 
 class EventLog:
@@ -59,7 +61,7 @@
         row = {"time": round(self.wall(), 4), "at": round(self.now(), 4)}
         row["process"] = self.process
         row["event"] = kind
-        row.update(fields)
+        row.update((name, _shortened(value)) for name, value in fields.items())
         line = self._encode(row) + b"\n"
         if len(self._backlog) + len(line) > BACKLOG_BYTES:
             # The reader may have resumed. Without this flush, a full buffer would never
@@ -85,3 +87,9 @@
             self._backlog.clear()
             return
         del self._backlog[:written]
+
+
+def _shortened(value):
+    if isinstance(value, str) and len(value) > MAX_TEXT_LENGTH:
+        return value[:MAX_TEXT_LENGTH] + "..."
+    return value
--- a/boragegw/gateway/_follower.py
+++ b/boragegw/gateway/_follower.py
@@ -135,6 +135,10 @@
                 await self._back_off_after_lost_history()
             except _sources.SourceError as error:
                 await self._handle_failure(name, error)
+            except Exception:
+                # What has been applied of the result is unknown.
+                self._must_reread = True
+                raise
 
     def _next_source(self):
         """Return the source of the next read.
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -30,6 +30,7 @@
     _server_selector,
     _source_selector,
     _store_alarm,
+    _supervision,
 )
 
 #: Seconds between checks of the sources of published records and for news of the fleet,
@@ -88,6 +89,9 @@
         self._default_limits = balancing.CallerLimits()
         self._listeners = []
         self._tasks = []
+        self.supervisor = _supervision.Supervisor(
+            now=now, counters=board.counters, log=log
+        )
         self._build(decoder, store)
 
     def _build(self, decoder, store):
@@ -359,19 +363,15 @@
         await self._listen_for_relays()
         self.log.event("start", incarnation=self.local_member.incarnation)
         self.membership.tick()
-        self._start_task(self.follower.run())
-        self._start_task(self.follower.store_access.regain())
-        self._start_task(self.reconciler.run())
-        self._start_task(
-            self._run_periodically(
-                _membership.HEARTBEAT_INTERVAL_SECONDS, self.membership.tick
-            )
-        )
-        self._start_task(
-            self._run_periodically(SOURCE_CHECK_INTERVAL, self._check_fleet)
+        self._start_task(self.follower.run)
+        self._start_task(self.follower.store_access.regain)
+        self._start_task(self.reconciler.run)
+        self._call_periodically(
+            _membership.HEARTBEAT_INTERVAL_SECONDS, self.membership.tick
         )
-        self._start_task(self._run_periodically(IDLE_CHECK_INTERVAL, self._sweep))
-        self._start_task(self._measure_lateness())
+        self._call_periodically(SOURCE_CHECK_INTERVAL, self._check_fleet)
+        self._call_periodically(IDLE_CHECK_INTERVAL, self._sweep)
+        self._start_task(self._measure_lateness)
 
     async def _listen_for_relays(self):
         address = self.settings.relay_address
@@ -390,20 +390,13 @@
         endpoint = _endpoint.Endpoint(handler, now=self.now)
         return await endpoint.listen(address)
 
-    def _start_task(self, coroutine):
-        task = asyncio.get_running_loop().create_task(coroutine)
-        task.add_done_callback(self._on_task_done)
-        self._tasks.append(task)
-
-    def _on_task_done(self, task):
-        if not task.cancelled() and task.exception() is not None:
-            self.log.event("task-failed", error=repr(task.exception()))
-            raise SystemExit(1)
+    def _start_task(self, function):
+        task = self.supervisor.run(function.__qualname__, function)
+        self._tasks.append(asyncio.get_running_loop().create_task(task))
 
-    async def _run_periodically(self, interval, action):
-        while True:
-            await asyncio.sleep(interval)
-            action()
+    def _call_periodically(self, interval, action):
+        task = self.supervisor.run_periodically(interval, action)
+        self._tasks.append(asyncio.get_running_loop().create_task(task))
 
     async def _measure_lateness(self):
         """Measure how late timers run; a new level goes out with the next heartbeat."""
@@ -419,17 +412,20 @@
                 )
 
     def _sweep(self):
-        self.selector.sweep()
-        self.forwarder.sender.relay.sweep()
+        self.supervisor.call_each(
+            self.selector.sweep, self.forwarder.sender.relay.sweep
+        )
 
     def _check_fleet(self):
-        self.follower.check()
-        self.store_alarm.check()
-        self.currency.check()
-        self.confirmer.check()
-        self.membership.send_news()
-        self.allotments.send_messages()
-        self.reach.check()
+        self.supervisor.call_each(
+            self.follower.check,
+            self.store_alarm.check,
+            self.currency.check,
+            self.confirmer.check,
+            self.membership.send_news,
+            self.allotments.send_messages,
+            self.reach.check,
+        )
 
     def _announce_ready(self):
         if self.board.ready and self.local_member.life == _peer_messages.Life.STARTING:
--- a/boragegw/gateway/_membership.py
+++ b/boragegw/gateway/_membership.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from boragegw import balancing
+from boragegw import balancing, utils
 from boragegw.gateway import (
     _composer,
     _failure_detector,
@@ -99,7 +99,9 @@
         board.processes = ASSUMED_FLEET_SIZE
         self._transport = None
         self._encode = msgspec.msgpack.Encoder().encode
-        self._decode = msgspec.msgpack.Decoder(_peer_messages.Datagram).decode
+        self._datagrams = utils.InputDecoder(
+            msgspec.msgpack.Decoder(_peer_messages.Datagram).decode
+        )
         self._handlers = {
             _peer_messages.CrashNotice: self._handle_crash,
             _peer_messages.UpdateBatch: self._handle_updates,
@@ -424,8 +426,8 @@
     def datagram_received(self, data, addr):
         """Apply a message of another process; drop and log a malformed datagram."""
         try:
-            message = self._decode(data)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            message = self._datagrams.decode(data)
+        except utils.MalformedInputError as error:
             self.board.counters["peers.datagrams_dropped"] += 1
             self.log.event("datagram-dropped", sender=addr[0], reason=str(error))
             return
--- a/boragegw/gateway/_metrics.py
+++ b/boragegw/gateway/_metrics.py
@@ -69,6 +69,8 @@
     "peers.datagrams_sent": "datagrams sent to peers",
     "peers.datagrams_dropped": "datagrams dropped as foreign, damaged or repeated",
     "peers.send_errors": "datagrams that could not be delivered",
+    "records.unreadable": "records of the store that cannot be decoded",
+    "tasks.failed": "errors of the process itself outside of requests",
 }
 ACCOUNT_HELP = "requests of the largest client accounts, and of all others together"
 #: Label that holds the variable part of a counter's name.
--- a/boragegw/gateway/_relay_listener.py
+++ b/boragegw/gateway/_relay_listener.py
@@ -2,8 +2,7 @@
 
 import dataclasses
 
-import msgspec
-
+from boragegw import utils
 from boragegw.gateway import _relay_messages
 
 #: Bytes of a relayed head beyond the limit for callers: the header of the relay.
@@ -84,7 +83,7 @@
         """Return why a request is not taken, or "" after storing what it was told."""
         try:
             info = _relay_messages.take_info(request)
-        except msgspec.DecodeError as error:
+        except utils.MalformedInputError as error:
             return f"malformed relay header: {error}"
         if info is None:
             return "no relay header"
--- a/boragegw/gateway/_relay_messages.py
+++ b/boragegw/gateway/_relay_messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from boragegw import utils
+
 #: Header of a relayed request with a :class:`RelayInfo` in JSON.
 RELAY_HEADER = b"boragegw-relay"
 
@@ -18,7 +20,7 @@
     version: int
 
 
-_decode = msgspec.json.Decoder(RelayInfo).decode
+_decode = utils.InputDecoder(msgspec.json.Decoder(RelayInfo).decode).decode
 
 
 def encode_header(info):
@@ -29,7 +31,7 @@
 def take_info(request):
     """Remove the header from a request and return the :class:`RelayInfo`, or ``None``.
 
-    :raises msgspec.DecodeError: if the header is malformed.
+    :raises MalformedInputError: if the header is malformed.
     """
     values = [value for name, value in request.headers if name == RELAY_HEADER]
     request.headers = [pair for pair in request.headers if pair[0] != RELAY_HEADER]
--- a/boragegw/gateway/_replication.py
+++ b/boragegw/gateway/_replication.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from boragegw import utils
 from boragegw.gateway import _compression, _endpoint, _fetch, _sources
 
 RECORDS = "/v1/replica/records"
@@ -203,8 +204,12 @@
         self._confirmation_fetcher = _fetch.Fetcher(
             address, now, counters, "store.peer_reads"
         )
-        self._decode_confirmation = msgspec.msgpack.Decoder(ReplicaConfirmation).decode
-        self._decode = msgspec.msgpack.Decoder(ReplicaResponse).decode
+        self._confirmations = utils.InputDecoder(
+            msgspec.msgpack.Decoder(ReplicaConfirmation).decode
+        )
+        self._responses = utils.InputDecoder(
+            msgspec.msgpack.Decoder(ReplicaResponse).decode
+        )
 
     @property
     def progress(self):
@@ -238,8 +243,8 @@
         if response.status != 200:
             raise _sources.SourceError(f"status {response.status}")
         try:
-            told = self._decode_confirmation(response.body)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            told = self._confirmations.decode(response.body)
+        except utils.MalformedInputError as error:
             raise _sources.SourceError(f"unreadable answer: {error}") from error
         age = told.age_ms / 1000.0 + self.now() - started
         return _sources.Confirmation(told.revision, age)
@@ -256,9 +261,9 @@
         if response.status != 200:
             raise _sources.SourceError(f"status {response.status}")
         try:
-            replica = self._decode(_decompressed_body(response))
+            replica = self._responses.decode(_decompressed_body(response))
             records = [self._record(change) for change in replica.changes]
-        except (msgspec.DecodeError, _compression.CompressionError) as error:
+        except (utils.MalformedInputError, _compression.CompressionError) as error:
             raise _sources.SourceError(f"unreadable answer: {error}") from error
         miss_count = _sources.MissCount(
             self.address, replica.incarnation, replica.misses
--- a/boragegw/gateway/tests/test_data_centres.py
+++ b/boragegw/gateway/tests/test_data_centres.py
@@ -222,3 +222,4 @@
     )
     await asyncio.sleep(1.0)
     assert not any(task.done() for task in process._tasks)
+    assert process.board.counters["tasks.failed"] == 0
--- a/boragegw/operations/_timeline.py
+++ b/boragegw/operations/_timeline.py
@@ -11,6 +11,8 @@
 import json
 import statistics
 
+from boragegw import utils
+
 #: Seconds before and after the lines of a request, from which lines about the same
 #: backend servers and about the state of its processes are included.
 CONTEXT_SECONDS = 2.0
@@ -34,6 +36,8 @@
     )
 )
 
+_json = utils.InputDecoder(json.loads)
+
 
 @dataclasses.dataclass(slots=True)
 class LogLine:
@@ -100,7 +104,7 @@
 def _parse_line(text, starts):
     start = text.find("{")
     try:
-        row = json.loads(text[start:]) if start >= 0 else None
+        row = _json.decode(text[start:]) if start >= 0 else None
         process = row.pop("process")
         event = row.pop("event")
         at = float(row.pop("at"))
--- a/boragegw/peers/_bulk_codec.py
+++ b/boragegw/peers/_bulk_codec.py
@@ -3,7 +3,7 @@
 import base64
 import json
 
-from boragegw import decisions, errors
+from boragegw import decisions, errors, utils
 from boragegw.peers import _base
 
 
@@ -64,19 +64,8 @@
     :raises PeerError: if it is malformed.
     """
     try:
-        content = json.loads(raw)
-        watermark = content["watermark"]
-        outcomes = {
-            key: (base64.b64decode(fingerprint), _decode_outcome(row))
-            for key, fingerprint, row in content["rows"]
-        }
-        return decisions.SealedTable(
-            content["incarnation"],
-            float("-inf") if watermark is None else watermark,
-            outcomes,
-            content["keep_until"],
-        )
-    except (ValueError, KeyError, TypeError) as error:
+        return _sealed_tables.decode(raw)
+    except utils.MalformedInputError as error:
         raise _base.PeerError(f"malformed sealed table: {error}") from error
 
 
@@ -96,13 +85,8 @@
     :raises PeerError: if it is malformed.
     """
     try:
-        content = json.loads(raw)
-        return _base.KnownConfiguration(
-            int(content["revision"]),
-            int(content["version"]),
-            frozenset(content["hashes"]),
-        )
-    except (ValueError, KeyError, TypeError) as error:
+        return _known_configurations.decode(raw)
+    except utils.MalformedInputError as error:
         raise _base.PeerError(f"malformed configuration request: {error}") from error
 
 
@@ -124,14 +108,47 @@
     :raises PeerError: if it is malformed.
     """
     try:
-        content = json.loads(raw)
-        documents = {
-            name: base64.b64decode(text) for name, text in content["documents"].items()
-        }
-        return _base.ConfigurationBundle(
-            base64.b64decode(content["head"]),
-            documents,
-            base64.b64decode(content["vms"]),
-        )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return _bundles.decode(raw)
+    except utils.MalformedInputError as error:
         raise _base.PeerError(f"malformed configuration bundle: {error}") from error
+
+
+def _parse_sealed_table(raw):
+    content = json.loads(raw)
+    watermark = content["watermark"]
+    outcomes = {
+        key: (base64.b64decode(fingerprint), _decode_outcome(row))
+        for key, fingerprint, row in content["rows"]
+    }
+    return decisions.SealedTable(
+        content["incarnation"],
+        float("-inf") if watermark is None else watermark,
+        outcomes,
+        content["keep_until"],
+    )
+
+
+def _parse_known_configuration(raw):
+    content = json.loads(raw)
+    return _base.KnownConfiguration(
+        int(content["revision"]),
+        int(content["version"]),
+        frozenset(content["hashes"]),
+    )
+
+
+def _parse_bundle(raw):
+    content = json.loads(raw)
+    documents = {
+        name: base64.b64decode(text) for name, text in content["documents"].items()
+    }
+    return _base.ConfigurationBundle(
+        base64.b64decode(content["head"]),
+        documents,
+        base64.b64decode(content["vms"]),
+    )
+
+
+_sealed_tables = utils.InputDecoder(_parse_sealed_table)
+_known_configurations = utils.InputDecoder(_parse_known_configuration)
+_bundles = utils.InputDecoder(_parse_bundle)
--- a/boragegw/peers/_datagram_codec.py
+++ b/boragegw/peers/_datagram_codec.py
@@ -6,7 +6,7 @@
 
 import capnp
 
-from boragegw import balancing, blackboard
+from boragegw import balancing, blackboard, utils
 from boragegw.peers import _authentication, _messages
 
 capnp.remove_import_hook()
@@ -174,6 +174,17 @@
 }
 
 
+def _parse_payload(payload):
+    """Return the sender, the sequence, the wall-clock time and the message."""
+    root = _SCHEMA.Datagram.from_bytes_packed(payload)
+    kind = str(root.which())
+    message = _READERS[kind](getattr(root, kind))
+    return root.sender, root.sequence, root.sentAtMs / 1000, message
+
+
+_payloads = utils.InputDecoder(_parse_payload)
+
+
 class DatagramCodec:
     """Encodes the messages of this process and decodes those of its peers.
 
@@ -215,12 +226,8 @@
         if not payload or not hmac.compare_digest(mac, self._mac(payload)):
             raise MalformedDatagramError("wrong MAC")
         try:
-            root = _SCHEMA.Datagram.from_bytes_packed(payload)
-            kind = root.which()
-            message = _READERS[str(kind)](getattr(root, str(kind)))
-            sender, sequence = root.sender, root.sequence
-            sent_at = root.sentAtMs / 1000
-        except (capnp.KjException, KeyError, ValueError) as error:
+            sender, sequence, sent_at, message = _payloads.decode(payload)
+        except utils.MalformedInputError as error:
             raise MalformedDatagramError(str(error)) from error
         if not self._window.accept(sender, sequence, sent_at, self.clock.wall()):
             raise MalformedDatagramError("replayed or too old")
--- a/boragegw/peers/_http.py
+++ b/boragegw/peers/_http.py
@@ -4,7 +4,7 @@
 
 import httpx
 
-from boragegw import errors, messages
+from boragegw import errors, messages, utils
 from boragegw.peers import _base, _bulk_codec
 
 SIGNATURE_HEADER = b"boragegw-peer-signature"
@@ -44,22 +44,29 @@
     :raises PeerError: if the value is malformed.
     """
     try:
-        fields = base64.urlsafe_b64decode(value).decode().split("\n")
-        incarnation, request_id, service, method, target, key, ms, left = fields
-        return (
-            int(incarnation),
-            request_id,
-            service,
-            method,
-            target,
-            key,
-            int(ms) / 1000,
-            int(left),
-        )
-    except ValueError as error:
+        return _forward_headers.decode(value)
+    except utils.MalformedInputError as error:
         raise _base.PeerError(f"malformed forwarding header: {error}") from error
 
 
+def _parse_forward_header(value):
+    fields = base64.urlsafe_b64decode(value).decode().split("\n")
+    incarnation, request_id, service, method, target, key, ms, left = fields
+    return (
+        int(incarnation),
+        request_id,
+        service,
+        method,
+        target,
+        key,
+        int(ms) / 1000,
+        int(left),
+    )
+
+
+_forward_headers = utils.InputDecoder(_parse_forward_header)
+
+
 class HttpPeerNetwork(_base.PeerNetwork):
     """Network that uses HTTP and UDP sockets.
 
--- a/boragegw/platform/_configuration_probe.py
+++ b/boragegw/platform/_configuration_probe.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from boragegw import gateway
-from boragegw.platform import _wire_names
+from boragegw import gateway, utils
+from boragegw.platform import _schemas, _wire_names
 
 #: Seconds after which the record itself is read again. Until then, a watch from the
 #: last known revision shows whether it has changed, whatever its size. A watch rests on
@@ -17,15 +17,15 @@
 class WireHead(msgspec.Struct):
     """The revisions of an item and of the store; the value is not decoded."""
 
-    rev: int
-    as_of: int
+    rev: _schemas.Int64
+    as_of: _schemas.Int64
 
 
 class WireEventHead(msgspec.Struct):
     """The key and the revision of an event."""
 
     key: str
-    rev: int
+    rev: _schemas.Int64
     deleted: bool = False
 
 
@@ -33,7 +33,7 @@
     """The revisions of the events of a watch, and of the store."""
 
     events: list[WireEventHead]
-    as_of: int
+    as_of: _schemas.Int64
 
 
 class ConfigurationProbe:
@@ -46,8 +46,10 @@
     def __init__(self, fetcher, now):
         self.fetcher = fetcher
         self.now = now
-        self._head = msgspec.json.Decoder(WireHead)
-        self._event_heads = msgspec.json.Decoder(WireEventHeads)
+        self._head = utils.InputDecoder(msgspec.json.Decoder(WireHead).decode)
+        self._event_heads = utils.InputDecoder(
+            msgspec.json.Decoder(WireEventHeads).decode
+        )
         self._revision = 0
         self._known_at = 0
         self._read_at = -math.inf
@@ -101,5 +103,5 @@
         raise gateway.SourceError(f"store returned status {response.status}")
     try:
         return decoder.decode(response.body)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except utils.MalformedInputError as error:
         raise gateway.SourceError(f"invalid response of the store: {error}") from error
--- a/boragegw/platform/_document_decoder.py
+++ b/boragegw/platform/_document_decoder.py
@@ -1,8 +1,11 @@
 """Decodes documents in records of the store into the gateway's types."""
 
+import collections
+import re
+
 import msgspec
 
-from boragegw import accounts, balancing, gateway
+from boragegw import accounts, balancing, gateway, utils
 from boragegw.platform import _schemas, _wire_names
 
 #: An ``upload`` has a large body and is executed at most once.
@@ -12,21 +15,32 @@
     "upload": balancing.RouteKind.NON_IDEMPOTENT,
     "download": balancing.RouteKind.DOWNLOAD,
 }
+#: Messages to other processes hold 64 bits.
+VERSION = re.compile(r"r[0-9]{1,18}")
 SERVER_STATES = frozenset(("ready", "draining"))
 
+_decode_api_key = utils.InputDecoder(
+    lambda key: msgspec.convert(key, _schemas.HeaderText)
+).decode
+_decode_route_host = _schemas.ConfigurationDecoder(_schemas.WireRouteHost).decode
+
 
 class DocumentDecoder(gateway.Decoder):
     """Decodes records; invalid ones are logged and skipped.
 
     :param log: an :class:`~boragegw.gateway.EventLog`.
+    :param counters: mapping in which unreadable records are counted, or ``None``.
     """
 
     configuration_key = _wire_names.CONFIGURATION_KEY
 
-    def __init__(self, log):
+    def __init__(self, log, counters=None):
         self.log = log
-        self._server = msgspec.json.Decoder(_schemas.WireServer)
-        self._configuration = msgspec.json.Decoder(_schemas.WireConfiguration)
+        self.counters = collections.Counter() if counters is None else counters
+        self._server = utils.InputDecoder(
+            msgspec.json.Decoder(_schemas.WireServer).decode
+        )
+        self._configuration = _schemas.ConfigurationDecoder(_schemas.WireConfiguration)
         self._part_decoder = _schemas.LenientDecoder(log)
 
     def decode_server(self, record):
@@ -38,7 +52,8 @@
             return _to_listing(
                 record.key.removeprefix(_wire_names.SERVERS_PREFIX), wire
             )
-        except (msgspec.DecodeError, ValueError) as error:
+        except ValueError as error:
+            self.counters["records.unreadable"] += 1
             self.log.event("foreign-entry", key=record.key, reason=str(error))
             return None
 
@@ -48,7 +63,8 @@
             return None
         try:
             return self._to_configuration(self._configuration.decode(record.value))
-        except (msgspec.DecodeError, ValueError) as error:
+        except ValueError as error:
+            self.counters["records.unreadable"] += 1
             self.log.event("invalid-configuration", reason=str(error))
             return None
 
@@ -107,8 +123,8 @@
         """Yield the digests of the valid API keys of an account."""
         for key in wire.api_keys:
             try:
-                text = msgspec.convert(key, _schemas.HeaderText)
-            except msgspec.ValidationError as error:
+                text = _decode_api_key(key)
+            except utils.MalformedInputError as error:
                 self.log.event(
                     "unreadable-part",
                     part="account",
@@ -150,8 +166,8 @@
 def _readable_host(raw_route):
     """Return the host of a route that is unreadable otherwise, or ``None``."""
     try:
-        return msgspec.json.decode(raw_route, type=_schemas.WireRouteHost).host
-    except msgspec.DecodeError:
+        return _decode_route_host(raw_route).host
+    except utils.MalformedInputError:
         return None
 
 
@@ -178,8 +194,8 @@
 
 
 def _parse_version(text):
-    if not text.startswith("r") or not text[1:].isdigit():
-        raise ValueError(f"version {text!r}: expected 'r' and a number")
+    if not VERSION.fullmatch(text):
+        raise ValueError(f"version {text!r}: expected 'r' and at most 18 digits")
     return int(text[1:])
 
 
--- a/boragegw/platform/_process.py
+++ b/boragegw/platform/_process.py
@@ -31,7 +31,7 @@
     return gateway.Gateway(
         settings.gateway,
         _dialect.PlatformDialect(),
-        _document_decoder.DocumentDecoder(log),
+        _document_decoder.DocumentDecoder(log, board.counters),
         _store_client.StoreClient(settings.store, now, board.counters, log),
         board=board,
         log=log,
@@ -84,14 +84,22 @@
         self._last_file_stamp = _file_stamp(self.path)
         log = gateway.EventLog(self._settings.gateway.name, loop.time)
         self.gateway = build_gateway(self._settings, log, loop.time)
+        loop.set_exception_handler(self._on_loop_error)
         await self.gateway.start(self._front_listener())
         self._listeners = await open_endpoints(self.gateway, self._settings)
-        settings_watch = loop.create_task(self._watch_settings())
+        settings_watch = loop.create_task(
+            self.gateway.supervisor.run("settings watch", self._watch_settings)
+        )
         await self._stop_requested.wait()
         settings_watch.cancel()
         await self.gateway.stop()
         return 0
 
+    def _on_loop_error(self, loop, context):
+        """Log and count an exception that nothing else has handled."""
+        error = context.get("exception") or RuntimeError(context["message"])
+        self.gateway.supervisor.observe_failure(context["message"], error)
+
     def _front_listener(self):
         """Return the inherited listener if its address is that of the settings."""
         if self.front_fd is None:
--- a/boragegw/platform/_schemas.py
+++ b/boragegw/platform/_schemas.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from boragegw import accounts
+from boragegw import accounts, utils
+from boragegw.platform import _nesting
 
 #: Value of ``max_attempts`` if a route does not set it.
 DEFAULT_MAX_ATTEMPTS = 2
@@ -28,6 +29,8 @@
 NonNegativeFloat = typing.Annotated[float, msgspec.Meta(ge=0)]
 PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0)]
 NonNegativeInt = typing.Annotated[int, msgspec.Meta(ge=0)]
+#: An integer that messages to other processes can hold.
+Int64 = typing.Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 #: Text that can be sent in a header: printable ASCII characters without spaces.
 HeaderText = typing.Annotated[
     str, msgspec.Meta(pattern=r"^[\x21-\x7e]+\Z", max_length=accounts.MAX_KEY_BYTES)
@@ -116,7 +119,7 @@
 
     service: str
     zone: str
-    slots: int
+    slots: Int64
     version: str = ""
 
 
@@ -124,7 +127,7 @@
     """Current state; ``seq`` counts the reports since the server started."""
 
     state: str
-    seq: int = 0
+    seq: Int64 = 0
     warmup_left_s: float = 0.0
 
 
@@ -134,7 +137,30 @@
     address: str
     info: WireInfo
     status: WireStatus
-    born: int = 0
+    born: Int64 = 0
+
+
+class ConfigurationDecoder:
+    """Decodes JSON that may hold values nested too deeply, which become ``null``.
+
+    Otherwise one such value would make the whole configuration unreadable, even in a
+    field that nobody reads.
+
+    :param part_type: type of the decoded value.
+    """
+
+    def __init__(self, part_type):
+        self._decoder = utils.InputDecoder(msgspec.json.Decoder(part_type).decode)
+
+    def decode(self, data):
+        """Return the decoded ``data``.
+
+        :raises MalformedInputError: if it cannot be decoded.
+        """
+        try:
+            return self._decoder.decode(data)
+        except utils.NestedTooDeeplyError:
+            return self._decoder.decode(_nesting.remove_deep_values(bytes(data)))
 
 
 class LenientDecoder:
@@ -150,6 +176,7 @@
     def __init__(self, log):
         self.log = log
         self._decoders = {}
+        self._fields = ConfigurationDecoder(dict)
 
     def decode(self, part_type, raw):
         """Return ``raw`` as ``part_type``, or ``None`` if a required field is invalid.
@@ -158,16 +185,16 @@
         :param raw: JSON bytes of the part.
         """
         if part_type not in self._decoders:
-            self._decoders[part_type] = msgspec.json.Decoder(part_type)
+            self._decoders[part_type] = ConfigurationDecoder(part_type)
         try:
             return self._decoders[part_type].decode(raw)
-        except msgspec.DecodeError:
+        except utils.MalformedInputError:
             return self._decode_by_field(part_type, raw)
 
     def _decode_by_field(self, part_type, raw):
         try:
-            fields = msgspec.json.decode(raw, type=dict)
-        except msgspec.DecodeError as error:
+            fields = self._fields.decode(raw)
+        except utils.MalformedInputError as error:
             self._log_unreadable(part_type, "", "", error)
             return None
         label = str(fields.get("name", ""))
@@ -179,9 +206,8 @@
                     return None
                 continue
             try:
-                value = _whole_number(fields[field.name])
-                values[field.name] = msgspec.convert(value, field.type)
-            except msgspec.ValidationError as error:
+                values[field.name] = _convert_field(fields[field.name], field.type)
+            except utils.MalformedInputError as error:
                 self._log_unreadable(part_type, label, field.name, error)
                 if field.required:
                     return None
@@ -199,6 +225,17 @@
         )
 
 
+def _convert_field(value, field_type):
+    """Return a decoded value as ``field_type``.
+
+    :raises MalformedInputError: if it has another type or is out of range.
+    """
+    decoder = utils.InputDecoder(
+        lambda value: msgspec.convert(_whole_number(value), field_type)
+    )
+    return decoder.decode(value)
+
+
 def _whole_number(value):
     """Return a float without a fraction as ``int``, and any other value as it is."""
     is_whole = isinstance(value, float) and value.is_integer()
--- a/boragegw/platform/_settings.py
+++ b/boragegw/platform/_settings.py
@@ -1,8 +1,9 @@
 """Reads and validates the platform's settings file."""
 
 import dataclasses
-import math
 import os
+import re
+import sys
 
 import msgspec
 
@@ -14,6 +15,7 @@
 #: object of objects: ``{"asking": {"most": 4}}``. The settings file cannot hold them,
 #: as it has only the fields that the platform defines.
 POLICIES_VARIABLE = "BORAGEGW_POLICIES"
+PORT = re.compile(r"[0-9]{1,5}")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,7 +48,7 @@
     """
     try:
         data = _decode_file(path)
-    except (OSError, msgspec.DecodeError) as error:
+    except (OSError, utils.MalformedInputError) as error:
         raise errors.ConfigurationError(path, "file", str(error)) from error
     if not isinstance(data, dict):
         raise errors.ConfigurationError(path, "file", "expected a JSON object or TOML")
@@ -57,7 +59,7 @@
     """Return whether the file at ``path`` holds settings in the platform's format."""
     try:
         data = _decode_file(path)
-    except (OSError, msgspec.DecodeError):
+    except (OSError, utils.MalformedInputError):
         return False
     return isinstance(data, dict) and {"node", "listen", "platform"} <= data.keys()
 
@@ -66,15 +68,20 @@
     with open(path, "rb") as file:
         data = file.read()
     if data.lstrip().startswith(b"{"):
-        return msgspec.json.decode(data)
+        return _json.decode(data)
+    return _toml.decode(data)
+
+
+def _decode_toml(data):
     # The platform writes TOML unless a template asks for JSON. Importing the parser
     # takes 5 ms of the startup time.
     import tomllib
 
-    try:
-        return tomllib.loads(data.decode())
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise msgspec.DecodeError(str(error)) from error
+    return tomllib.loads(data.decode())
+
+
+_json = utils.InputDecoder(msgspec.json.decode)
+_toml = utils.InputDecoder(_decode_toml)
 
 
 def _load_policy_parameters(text):
@@ -82,9 +89,9 @@
     if not text:
         return {}
     try:
-        parameters = msgspec.json.decode(text)
+        parameters = _json.decode(text)
         balancing.PolicySettings(parameters).check()
-    except (msgspec.DecodeError, utils.InvalidParameterError) as error:
+    except (utils.MalformedInputError, utils.InvalidParameterError) as error:
         raise errors.ConfigurationError(POLICIES_VARIABLE, "", str(error)) from error
     return parameters
 
@@ -166,7 +173,7 @@
         if value is None:
             return default
         is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
-        if not is_number or not 0 <= value < math.inf:
+        if not is_number or not 0 <= value <= sys.float_info.max:
             self._raise_invalid(key, value, "a number of at least 0")
         return float(value)
 
@@ -195,7 +202,7 @@
 
     def _parse_address(self, key, value):
         host, _, port = value.rpartition(":") if isinstance(value, str) else ("",) * 3
-        if not host or not port.isdigit():
+        if not host or not PORT.fullmatch(port):
             self._raise_invalid(key, value, "host:port")
         return host, int(port)
 
--- a/boragegw/platform/_store_client.py
+++ b/boragegw/platform/_store_client.py
@@ -1,12 +1,11 @@
 """Client of the platform's key-value store."""
 
 import base64
-import binascii
 
 import msgspec
 
-from boragegw import gateway
-from boragegw.platform import _configuration_probe
+from boragegw import gateway, utils
+from boragegw.platform import _configuration_probe, _schemas
 
 #: Time until a response begins, in addition to the wait of a watch. The store usually
 #: responds in 4 ms, but may be up to a hundred times slower.
@@ -17,11 +16,16 @@
 STATUS_GONE = 410
 
 
+_decode_base64 = utils.InputDecoder(
+    lambda text: base64.b64decode(text, validate=True)
+).decode
+
+
 class WireItem(msgspec.Struct):
     """An item or a change event of the store."""
 
     key: str
-    rev: int
+    rev: _schemas.Int64
     value: str | None = None
     deleted: bool = False
 
@@ -31,14 +35,14 @@
 
     items: list[WireItem]
     has_more: bool
-    as_of: int
+    as_of: _schemas.Int64
 
 
 class WireEvents(msgspec.Struct):
     """Events of a watch; the next watch starts from ``as_of``."""
 
     events: list[WireItem]
-    as_of: int
+    as_of: _schemas.Int64
 
 
 class StoreClient(gateway.Source):
@@ -59,8 +63,8 @@
         self._probe = _configuration_probe.ConfigurationProbe(
             gateway.Fetcher(address, now, counters, "store.calls"), now
         )
-        self._pages = msgspec.json.Decoder(WirePage)
-        self._events = msgspec.json.Decoder(WireEvents)
+        self._pages = utils.InputDecoder(msgspec.json.Decoder(WirePage).decode)
+        self._events = utils.InputDecoder(msgspec.json.Decoder(WireEvents).decode)
 
     @property
     def progress(self):
@@ -117,7 +121,7 @@
             raise gateway.SourceError(f"store returned status {response.status}")
         try:
             return decoder.decode(response.body)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        except utils.MalformedInputError as error:
             raise gateway.SourceError(
                 f"invalid response of the store: {error}"
             ) from error
@@ -132,8 +136,8 @@
     value = None
     if not item.deleted:
         try:
-            value = base64.b64decode(item.value or "", validate=True)
-        except binascii.Error:
+            value = _decode_base64(item.value or "")
+        except utils.MalformedInputError:
             value = b""
     return gateway.Record(item.key, value, item.rev)
 
--- a/boragegw/standins/_memory_network.py
+++ b/boragegw/standins/_memory_network.py
@@ -352,11 +352,14 @@
 
     A connection's local host is :data:`CURRENT_HOST` in the context of the task that
     opens it.
+
+    :ivar failures: errors of processes that a test has not expected, as text.
     """
 
     def __init__(self):
         super().__init__()
         self.network = MemoryNetwork(self)
+        self.failures = []
 
     async def create_connection(self, protocol_factory, host=None, port=None, **_):
         """Open an in-memory connection."""
@@ -378,9 +381,16 @@
 
 
 def run_in_memory(coroutine):
-    """Run ``coroutine`` to completion on a :class:`MemoryLoop`; return its result."""
+    """Run ``coroutine`` to completion on a :class:`MemoryLoop`; return its result.
+
+    :raises AssertionError: if a background task of a process has failed.
+    """
     with asyncio.Runner(loop_factory=MemoryLoop) as runner:
-        return runner.run(coroutine)
+        result = runner.run(coroutine)
+        failures = runner.get_loop().failures
+        if failures:
+            raise AssertionError(f"tasks of processes have failed: {failures}")
+        return result
 
 
 def in_memory(test):
--- a/boragegw/standins/_wire_installation.py
+++ b/boragegw/standins/_wire_installation.py
@@ -34,6 +34,24 @@
     seconds: float
 
 
+#: Events of errors of a process itself, which goes on in spite of them.
+FAILURE_EVENTS = frozenset(("task-failed", "record-failed"))
+
+
+class _ProcessLog(gateway.EventLog):
+    """The log of a process, without output; it collects errors of the process."""
+
+    def __init__(self, process, loop):
+        super().__init__(process, loop.time, os.open(os.devnull, os.O_WRONLY))
+        self.failures = loop.failures
+
+    def event(self, kind, **fields):
+        """Write one line; keep it if it is an error of the process."""
+        if kind in FAILURE_EVENTS:
+            self.failures.append(f"{self.process}: {kind} {fields}")
+        super().event(kind, **fields)
+
+
 class WireInstallation:
     """A small installation of the gateway on an in-memory network.
 
@@ -168,9 +186,7 @@
 
     async def _start_gateway(self, settings):
         _memory_network.CURRENT_HOST.set(settings.gateway.name)
-        log = gateway.EventLog(
-            settings.gateway.name, self.loop.time, os.open(os.devnull, os.O_WRONLY)
-        )
+        log = _ProcessLog(settings.gateway.name, self.loop)
         random_state = random.Random(f"{self.seed} {settings.gateway.name}")
         process = platform.build_gateway(settings, log, self.loop.time, random_state)
         await process.start()
@@ -178,11 +194,16 @@
         self.processes[settings.gateway.name] = process
         return process
 
+    def take_failures(self):
+        """Return the errors of processes so far; a test that ends with some fails."""
+        failures = self.loop.failures[:]
+        self.loop.failures.clear()
+        return failures
+
     def kill_gateway(self, name):
         """Kill a process without a graceful stop; its host falls silent."""
         process = self.processes.pop(name)
         for task in process._tasks:
-            task.remove_done_callback(process._on_task_done)
             task.cancel()
         for address in list(self.network.listeners):
             if address[0] == name:
--- a/boragegw/standins/_wire_store.py
+++ b/boragegw/standins/_wire_store.py
@@ -14,6 +14,7 @@
 
     :param page_size: maximum number of items in a page of a range read.
     :ivar status: if set, status of the responses to all calls.
+    :ivar body: if set, body of the responses to all calls.
     :ivar hang: while set, calls get no response.
     :ivar latency: seconds by which each response is late.
     :ivar stall_watches: watches that start while this is set get no events before
@@ -26,6 +27,7 @@
         self.address = address
         self.page_size = page_size
         self.status = None
+        self.body = None
         self.hang = False
         self.latency = 0.0
         self.stall_watches = False
@@ -79,6 +81,8 @@
             await asyncio.sleep(self.latency)
         if self.status is not None:
             return gateway.EndpointResponse(self.status)
+        if self.body is not None:
+            return gateway.EndpointResponse(200, self.body)
         path, _, text = target.decode().partition("?")
         query = dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
         if path == "/v1/kv-range":
--- a/boragegw/utils/__init__.py
+++ b/boragegw/utils/__init__.py
@@ -3,6 +3,11 @@
 from boragegw.utils._bounded_dict import BoundedDict
 from boragegw.utils._clock import Clock, LoopClock, ManualClock
 from boragegw.utils._hashing import rendezvous_rank, stable_hash
+from boragegw.utils._input_decoder import (
+    InputDecoder,
+    MalformedInputError,
+    NestedTooDeeplyError,
+)
 from boragegw.utils._parameters import (
     Interval,
     InvalidParameterError,
@@ -15,10 +20,13 @@
 
 __all__ = [
     "Clock",
+    "InputDecoder",
     "Interval",
     "InvalidParameterError",
     "LoopClock",
+    "MalformedInputError",
     "ManualClock",
+    "NestedTooDeeplyError",
     "Options",
     "Parameterized",
     "BoundedDict",
