Connections: each has one owner, which counts it from its opening to its end

Cause: the pool counted down in discard() and release() only, and four ways out forgot to call them: the caller has left, the loser of a hedge, an attempt whose request has ended (an idempotent one that ends as it is cancelled was not even closed), and an error response kept as a fallback that is not used.

Class: a count that goes up in one place and down in many. Connections to servers: at fault in the four ways; beside them a connection could be released to the pool of the next server at its address, and an exception in the handling of a probe or an answer lost one. Relays, sources of records: several branches, none shown at fault; now one finally each.

Change: a connection tells its pool when it is opened, aborted and lost, and is counted in between, once; release() and abort() are its own and may be called twice. Two gauges count both sides independently, and a log line says if they part. A fleet of real processes is a stand-in now (standins.ProcessFleet).

Tests: two that read _open of a pool read in_use, one that called discard() calls abort(); what they check is unchanged.

--- a/boragegw/gateway/__init__.py
+++ b/boragegw/gateway/__init__.py
@@ -21,6 +21,7 @@
 from boragegw.gateway._caller_connection import CallerConnection
 from boragegw.gateway._catalogue import Catalogue
 from boragegw.gateway._confirmer import Confirmer
+from boragegw.gateway._connection_pool import ConnectionPool
 from boragegw.gateway._currency import Currency, rounded_age
 from boragegw.gateway._dialect import Dialect, HealthResponse
 from boragegw.gateway._directory import DirectoryPolicy
@@ -50,7 +51,6 @@
     SourceError,
 )
 from boragegw.gateway._upstream import (
-    ConnectionPool,
     ExchangeError,
     Failure,
     Response,
--- a/boragegw/gateway/_call.py
+++ b/boragegw/gateway/_call.py
@@ -154,7 +154,6 @@
     :param connection: the connection that still carries an incomplete response.
     :param server: the backend server, or the process to which it was relayed.
     :param reason: why the attempt failed, or "".
-    :param pool: the pool to which the connection returns.
     """
 
     verdict: Verdict
@@ -162,7 +161,11 @@
     server: object = None
     connection: object = None
     reason: str = ""
-    pool: object = None
+
+    def close(self):
+        """Give back the connection; it is closed if the response is incomplete."""
+        if self.connection is not None:
+            self.connection.release()
 
     @property
     def sent(self):
--- a/boragegw/gateway/_fetch.py
+++ b/boragegw/gateway/_fetch.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from boragegw.gateway import _sources, _upstream
+from boragegw.gateway import _connection_pool, _sources, _upstream
 
 #: Maximum size of a response body in bytes.
 MAX_RESPONSE_BYTES = 16 << 20
@@ -47,7 +47,9 @@
         self.counters = counters
         self.counter = counter
         self.progress = _sources.Progress()
-        self._pool = _upstream.ConnectionPool(address, now, CONNECT_TIMEOUT_SECONDS)
+        self._pool = _connection_pool.ConnectionPool(
+            address, now, CONNECT_TIMEOUT_SECONDS
+        )
 
     async def get(self, path, timeout):
         """Return the :class:`FetchedResponse` to GET ``path``.
@@ -62,26 +64,24 @@
             connection = await self._pool.acquire(MAX_CONNECTIONS)
         except _upstream.ExchangeError as error:
             raise _sources.SourceError(str(error)) from error
+        is_complete = False
         try:
             async with asyncio.timeout(timeout) as limit:
                 response = await connection.start(request, lambda response: True)
                 body = await self._read_body(response, limit)
+            is_complete = True
+            return FetchedResponse(response.status, response.headers, body)
         except (_upstream.ExchangeError, TimeoutError) as error:
-            self._abandon(connection)
             raise _sources.SourceError(
                 str(error) or "no answer in time", self.progress.received
             ) from error
-        except asyncio.CancelledError:
-            self._abandon(connection)
-            raise
         finally:
+            if is_complete:
+                connection.release()
+            else:
+                connection.abort()
+                self.counters["sources.bytes_dropped"] += self.progress.received
             self.progress.end()
-        self._pool.release(connection)
-        return FetchedResponse(response.status, response.headers, body)
-
-    def _abandon(self, connection):
-        self._pool.discard(connection)
-        self.counters["sources.bytes_dropped"] += self.progress.received
 
     async def _read_body(self, response, limit):
         body = bytearray()
@@ -103,7 +103,7 @@
 
     def close(self):
         """Close the idle connections."""
-        self._pool.close()
+        self._pool.close_idle()
 
 
 def _content_length(response):
--- a/boragegw/gateway/_forwarder.py
+++ b/boragegw/gateway/_forwarder.py
@@ -252,6 +252,9 @@
                     running.add(loop.create_task(self.sender.send(call)))
             await self._finish(call, winner, writer)
         finally:
+            for outcome in (winner, call.fallback_outcome):
+                if outcome is not None:
+                    outcome.close()
             for attempt in running:
                 self._abandon(call, attempt)
 
@@ -271,15 +274,12 @@
         """
         if call.idempotent or not call.attempts:
             attempt.cancel()
-        else:
-            attempt.add_done_callback(self._discard_result)
+        # Also if it is cancelled: it may have ended in this moment.
+        attempt.add_done_callback(self._discard_result)
 
     def _discard_result(self, attempt):
-        if attempt.cancelled() or attempt.exception() is not None:
-            return
-        outcome = attempt.result()
-        if outcome.connection is not None:
-            outcome.connection.abort()
+        if not attempt.cancelled() and attempt.exception() is None:
+            attempt.result().close()
 
     def _hedge_time(self, call):
         """Return when to hedge if no further bytes of a response arrive until then.
@@ -339,28 +339,32 @@
         if outcome.verdict is not Verdict.NOT_RUN:
             call.may_have_run = True
         if winner is not None:
-            if outcome.connection is not None:
-                outcome.connection.abort()
+            outcome.close()
             return winner
         if outcome.successful:
             return outcome
         call.reason = outcome.reason
         if outcome.response is not None:
             if call.idempotent:
-                call.fallback_outcome = outcome
+                self._replace_fallback(call, outcome)
                 return None
             return outcome
         return None
 
+    @staticmethod
+    def _replace_fallback(call, outcome):
+        if call.fallback_outcome is not None:
+            call.fallback_outcome.close()
+        call.fallback_outcome = outcome
+
     # Completion.
 
     async def _finish(self, call, winner, writer):
-        request = call.request
+        if winner is not None:
+            self._replace_fallback(call, None)
         outcome = winner or call.fallback_outcome
-        if request.caller_gone:
+        if call.request.caller_gone:
             self.board.counters["requests.caller_gone"] += 1
-            if outcome is not None and outcome.connection is not None:
-                outcome.connection.abort()
             return
         if outcome is not None:
             self._record_response(call, outcome)
@@ -384,8 +388,6 @@
             else:
                 call.reason = error.failure.name
                 self._respond_with_failure(call, writer)
-        if outcome.connection is not None:
-            outcome.pool.release(outcome.connection)
 
     def _record_truncated_response(self, call, outcome, failure):
         """Count and log a response of which the caller has received only a part."""
--- a/boragegw/gateway/_metrics.py
+++ b/boragegw/gateway/_metrics.py
@@ -42,6 +42,8 @@
     "attempts.reset.*": "of these, connections reset before a response, by cause",
     "probes.sent": "probes sent",
     "searches.full": "searches for a place that found no backend server with room",
+    "connections.forgotten": "connections to backend servers that were closed since "
+    "nothing gave them back",
     "queue.entered": "requests that waited for capacity",
     "queue.placed": "of these, requests that got a backend server",
     "queue.placed_by_report": "of these, requests that needed no probe",
@@ -93,6 +95,9 @@
     "answer_age": "seconds since the last answer of a source, -1 before the first",
     "connections": "callers' connections that are open",
     "waiting_requests": "requests that wait for capacity",
+    "server_connections_counted": "connections to backend servers that count toward "
+    "the limits",
+    "server_connections_open": "connections to backend servers that are open",
     "limited_servers": "backend servers that have named a limit",
     "held_response_bytes": "bytes reserved for answers that wait for earlier ones",
     "services_resetting": "services whose backend servers reset when full",
--- a/boragegw/gateway/_relay.py
+++ b/boragegw/gateway/_relay.py
@@ -11,6 +11,7 @@
 from boragegw import balancing, errors
 from boragegw.gateway import (
     _call,
+    _connection_pool,
     _exchange,
     _peer_messages,
     _relay_messages,
@@ -192,13 +193,15 @@
             target.avoided_until = self.now() + AVOID_SECONDS
             self._log_failure(call, target, str(error))
             return None
-        if not self.stop_gate.permits(call):
-            target.pool.release(connection)
-            return None
-        self._record_attempt(call, target)
-        outcome = await self._exchange(call, target, connection)
-        if outcome.connection is None:
-            target.pool.release(connection)
+        outcome = None
+        try:
+            if not self.stop_gate.permits(call):
+                return None
+            self._record_attempt(call, target)
+            outcome = await self._exchange(call, target, connection)
+        finally:
+            if outcome is None or outcome.connection is None:
+                connection.release()
         if outcome.verdict is Verdict.NOT_RUN:
             call.attempts -= 1
         return outcome
@@ -207,7 +210,7 @@
         address = _relay_address(member)
         target = self._targets.get(address)
         if target is None:
-            pool = _upstream.ConnectionPool(address, self.now)
+            pool = _connection_pool.ConnectionPool(address, self.now)
             target = self._targets[address] = RelayTarget(member.name, pool)
         return target
 
@@ -251,9 +254,6 @@
             return _call.AttemptOutcome(
                 Verdict.MAY_HAVE_RUN, server=target, reason=failure.name
             )
-        except asyncio.CancelledError:
-            target.pool.discard(connection)
-            raise
         return self._classify(target, connection, response)
 
     def _classify(self, target, connection, response):
@@ -272,7 +272,6 @@
             target,
             None if response.complete else connection,
             reason=f"server answered {response.status}" if failed else "",
-            pool=target.pool,
         )
 
     def sweep(self):
--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -101,25 +101,43 @@
             selection = await self._select_server(call, hedge)
             if selection is None:
                 return await self._send_without_server(call)
-            server = selection.server
-            pool = self.selector.pool(server)
+            outcome = await self._use(call, selection, hedge)
+            if outcome is not None:
+                return outcome
+        return _call.AttemptOutcome(Verdict.NOT_RUN, reason="places were lost")
+
+    async def _use(self, call, selection, hedge):
+        """Send to the selected server if the call and the server still permit it.
+
+        Unless the outcome has the connection, it is given back on every way out.
+
+        :return: an :class:`AttemptOutcome`, or ``None`` if the place was lost.
+        """
+        outcome = None
+        try:
             now = self.now()
             rejection = self._rejection_reason(call, selection, now, hedge)
             if rejection:
-                pool.release(selection.connection)
                 return _call.AttemptOutcome(Verdict.NOT_RUN, reason=rejection)
             is_valid = self._is_still_valid(call, selection)
-            if is_valid and self.selector.limits.try_spend(server):
-                break
-            pool.release(selection.connection)
-        else:
-            return _call.AttemptOutcome(Verdict.NOT_RUN, reason="places were lost")
-        return await self._send_to(call, selection, now)
+            if not is_valid or not self.selector.limits.try_spend(selection.server):
+                return None
+            outcome = await self._send_to(call, selection, now)
+        finally:
+            if outcome is None or outcome.connection is None:
+                selection.connection.release()
+        self._offer_room(selection.server, outcome)
+        return outcome
+
+    def _offer_room(self, server, outcome):
+        """Offer a server that has answered to the calls that wait, if it has room."""
+        is_free = outcome.connection is None
+        if is_free and self.selector.policy.score(server, self.now()).has_capacity:
+            self._offer(server)
 
     async def _send_to(self, call, selection, now):
         """Send to the selected server and return the :class:`AttemptOutcome`."""
         server = selection.server
-        pool = self.selector.pool(server)
         call.tried.add(server.identity)
         call.attempts += 1
         call.attempt_records.append(_attempt_record(call, selection, now))
@@ -131,17 +149,9 @@
         server.own_in_flight += 1
         server.preferred_as_new = False
         try:
-            outcome = await self._exchange(call, selection, now)
-        except asyncio.CancelledError:
-            pool.discard(selection.connection)
-            raise
+            return await self._exchange(call, selection, now)
         finally:
             server.own_in_flight -= 1
-        if outcome.connection is None:
-            pool.release(selection.connection)
-            if self.selector.policy.score(server, self.now()).has_capacity:
-                self._offer(server)
-        return outcome
 
     def _is_relay_due(self, call):
         return self.relay is not None and self.relay.is_due(call)
@@ -353,7 +363,6 @@
             server,
             connection,
             reason=reason,
-            pool=self.selector.pool(server),
         )
 
     def _observe_limit(self, server, response, sent_at):
--- a/boragegw/gateway/_server_pool.py
+++ b/boragegw/gateway/_server_pool.py
@@ -1,9 +1,9 @@
 """Connections to one backend server, whose outcomes are observed."""
 
-from boragegw.gateway import _upstream
+from boragegw.gateway import _connection_pool, _upstream
 
 
-class ServerPool(_upstream.ConnectionPool):
+class ServerPool(_connection_pool.ConnectionPool):
     """Connections to one backend server, whose outcomes a monitor observes.
 
     :param server: the server at the pool's address.
--- a/boragegw/gateway/_server_search.py
+++ b/boragegw/gateway/_server_search.py
@@ -64,8 +64,8 @@
         return not self._is_too_slow(call, selection)
 
     def release(self, selection):
-        """Return the connection of a selection that is not used."""
-        self.selector.pool(selection.server).release(selection.connection)
+        """Give back the connection of a selection that is not used."""
+        selection.connection.release()
 
     def is_limited_until(self, call, end):
         """Return whether limits of the servers permit no send before ``end``."""
--- a/boragegw/gateway/_server_selector.py
+++ b/boragegw/gateway/_server_selector.py
@@ -121,6 +121,8 @@
         self.log = log
         self.on_room = None
         self._pools = {}
+        self._closed_pools = []
+        self._difference = 0
         self._margin = _placement_margin.PlacementMargin(board, now=now)
 
     async def select(self, search):
@@ -288,7 +290,7 @@
         )
         if is_usable:
             return selection
-        self.pool(server).release(selection.connection)
+        selection.connection.release()
         return None
 
     def select_reported(self, search, server):
@@ -317,7 +319,7 @@
             return None
         selection = Selection(scored_server, connection)
         if self._margin.choose(search, [selection]) is None:
-            self.pool(server).release(connection)
+            connection.release()
             return None
         return selection
 
@@ -449,7 +451,7 @@
 
     def _release(self, selection):
         server = selection.server
-        self.pool(server).release(selection.connection)
+        selection.connection.release()
         if self.on_room is not None and selection.scored_server.has_capacity:
             self.on_room(server)
 
@@ -494,11 +496,10 @@
 
     async def _probe(self, search, server):
         """Probe one server; return a :class:`Selection` or ``None``."""
-        service = search.service
         pool = self.pool(server)
-        gauge = search.state.pace
         # If a server reports no load, its slowness shows only in the time that a probe
         # takes on a new connection.
+        gauge = search.state.pace
         fresh = server.report is None and gauge.wants_new_connection(self.random_state)
         search.connecting.append(server)
         try:
@@ -509,44 +510,64 @@
             return None
         finally:
             search.connecting.remove(server)
+        selection = None
+        try:
+            selection = await self._probe_on(search, server, connection, fresh)
+        except Exception as error:
+            # Its other probes and the request go on.
+            self.board.counters["tasks.failed"] += 1
+            self.log.event("task-failed", task="probe", error=repr(error))
+        finally:
+            if selection is None:
+                connection.release()
+        if selection is not None and not connection.reusable:
+            # Backend servers occasionally close a connection after a response.
+            selection.connection = await self._replace(search, server, connection)
+            if selection.connection is None:
+                return None
+        return selection
+
+    async def _probe_on(self, search, server, connection, fresh):
+        """Probe a server on a connection; return a :class:`Selection` or ``None``."""
         self.board.counters["probes.sent"] += 1
         probed_at = self.now()
         try:
-            async with asyncio.timeout(PROBE_TIMEOUT):
-                request = self.dialect.health_request(service, server)
-                response = await connection.start(
-                    request, self.dialect.is_health_response
-                )
-                while not response.complete:
-                    if response.error is not None:
-                        raise response.error
-                    await response.changed()
+            response = await self._exchange_probe(search.service, server, connection)
         except (_upstream.ExchangeError, TimeoutError):
+            connection.abort()
             # Its other idle connections are as old and may be dead as well.
-            pool.discard(connection)
-            pool.close()
+            self.pool(server).close_idle()
             server.failures.observe(True, self.now())
             self.reach.observe_silence(server)
             return None
-        except asyncio.CancelledError:
-            pool.discard(connection)
-            raise
-        response.read_buffered()
         if fresh:
             seconds = self.now() - probed_at - connection.round_trip
-            server.observe_slowness(gauge.observe(seconds), self.now())
-        if not connection.reusable:
-            # Backend servers occasionally close a connection after a response.
-            connection = await self._replace(search, server, connection)
-            if connection is None:
-                return None
+            pace = search.state.pace.observe(seconds)
+            server.observe_slowness(pace, self.now())
         return self._process_response(search, server, connection, response)
 
+    async def _exchange_probe(self, service, server, connection):
+        """Return the whole response to a probe.
+
+        :raises ExchangeError: if there is none.
+        :raises TimeoutError: if it doesn't arrive in time.
+        """
+        async with asyncio.timeout(PROBE_TIMEOUT):
+            request = self.dialect.health_request(service, server)
+            response = await connection.start(request, self.dialect.is_health_response)
+            while not response.complete:
+                if response.error is not None:
+                    raise response.error
+                await response.changed()
+        response.read_buffered()
+        return response
+
     async def _replace(self, search, server, ended):
-        pool = self.pool(server)
-        pool.discard(ended)
+        ended.abort()
         try:
-            return await pool.acquire(self._connection_limit(search, server))
+            return await self.pool(server).acquire(
+                self._connection_limit(search, server)
+            )
         except _upstream.ExchangeError:
             self._avoid(server, search)
             return None
@@ -570,7 +591,6 @@
             self.log.event(
                 "server-moved", server=server.identity, is_now=health.identity
             )
-            self.pool(server).release(connection)
             return None
         if health.report is not None:
             server.observe_report(health.report)
@@ -608,7 +628,7 @@
         except _upstream.ExchangeError as error:
             # A server that resets new connections may be full.
             return isinstance(error.__cause__, ConnectionRefusedError) or None
-        self.pool(server).discard(connection)
+        connection.abort()
         return False
 
     async def ask_for_load(self, server, service, state):
@@ -616,15 +636,15 @@
         search = Search(service, state, set(), self.now())
         selection = await self._probe(search, server)
         if selection is not None:
-            self.pool(server).release(selection.connection)
+            selection.connection.release()
 
     async def check_connection(self, server):
         """Open a connection to a server and close it again.
 
         :raises ExchangeError: if none can be opened.
         """
-        pool = self.pool(server)
-        pool.discard(await pool.connect())
+        connection = await self.pool(server).connect()
+        connection.abort()
 
     def close_pools(self, addresses):
         """Close the connections to addresses that are no longer listed."""
@@ -632,8 +652,36 @@
             pool = self._pools.pop(address, None)
             if pool is not None:
                 pool.close()
+                self._closed_pools.append(pool)
+
+    def connection_counts(self):
+        """Return the numbers of connections to servers as a pair.
+
+        :return: those that the pools count, and those whose transports are open.
+        """
+        pools = (*self._pools.values(), *self._closed_pools)
+        counted = sum(pool.open_connections for pool in pools)
+        return counted, sum(pool.transports for pool in pools)
 
     def sweep(self):
-        """Close idle connections that will not be used again."""
-        for pool in self._pools.values():
-            pool.sweep()
+        """Close idle connections that will not be used again, and forgotten ones."""
+        for pool in (*self._pools.values(), *self._closed_pools):
+            self._log_forgotten(pool, pool.sweep())
+        self._closed_pools = [pool for pool in self._closed_pools if not pool.is_empty]
+        self._check_counts()
+
+    def _log_forgotten(self, pool, number):
+        if number:
+            self.board.counters["connections.forgotten"] += number
+            self.log.event("connections-forgotten", address=pool.address, number=number)
+
+    def _check_counts(self):
+        """Log a difference between both counts that lasts until the next check.
+
+        Guards against a pool that refuses connections which it could open.
+        """
+        counted, transports = self.connection_counts()
+        difference = counted - transports
+        if difference and difference == self._difference:
+            self.log.event("connections-differ", counted=counted, open=transports)
+        self._difference = difference
--- a/boragegw/gateway/_upstream.py
+++ b/boragegw/gateway/_upstream.py
@@ -1,7 +1,7 @@
-"""HTTP/1.1 connections to backend servers, with strict response parsing and pooling."""
+"""HTTP/1.1 connections to backend servers, with strict response parsing."""
 
+import abc
 import asyncio
-import collections
 import enum
 import math
 
@@ -86,21 +86,46 @@
             self._changed.set_result(None)
 
 
+class ConnectionOwner(abc.ABC):
+    """Counts connections and takes them back; see :class:`ConnectionPool`."""
+
+    @abc.abstractmethod
+    def release(self, connection):
+        """Take back a connection after its exchange."""
+
+    @abc.abstractmethod
+    def on_connected(self, connection):
+        """Record that a connection has been opened."""
+
+    @abc.abstractmethod
+    def on_aborted(self, connection):
+        """Record that a connection is being closed from this side."""
+
+    @abc.abstractmethod
+    def on_lost(self, connection):
+        """Record that a connection is closed, by whichever side."""
+
+
 class UpstreamConnection(asyncio.Protocol):
     """One connection to a backend server, with one exchange at a time.
 
     :param now: function that returns monotonic seconds.
+    :param owner: the :class:`ConnectionOwner`, or ``None``.
     :ivar idle_until: monotonic seconds until which the idle connection may be used.
     :ivar round_trip: seconds that connecting took.
     :ivar answered_at: monotonic seconds of the last complete response.
+    :ivar used_at: monotonic seconds at which it was opened, taken from its owner, or
+        began or ended an exchange.
     :ivar unusable: whether the connection must not carry another exchange.
     """
 
-    def __init__(self, now):
+    def __init__(self, now, owner=None):
         self.now = now
+        self.owner = owner
         self.idle_until = 0.0
         self.round_trip = 0.0
         self.answered_at = -math.inf
+        self.used_at = now()
         self.unusable = False
         self.closed = False
         self._transport = None
@@ -127,6 +152,7 @@
             server may send a late duplicate of a response where the next one is due.
         :param without_body: whether responses to the request's method have no body.
         """
+        self.used_at = self.now()
         self._head_future = asyncio.get_running_loop().create_future()
         self._accepts = accepts
         self._response = None
@@ -138,9 +164,18 @@
             self._transport.write(request)
         return self._head_future
 
+    def release(self):
+        """Give the connection back to its owner; it is closed if it can't be reused."""
+        if self.owner is None:
+            self.abort()
+        else:
+            self.owner.release(self)
+
     def abort(self):
         """Close at once, so that the backend server can stop its work."""
         self.unusable = True
+        if self.owner is not None:
+            self.owner.on_aborted(self)
         if self._transport is not None and not self.closed:
             self._transport.abort()
 
@@ -150,6 +185,11 @@
             self._paused = False
             self._transport.resume_reading()
 
+    @property
+    def is_free(self):
+        """Whether no exchange is in progress."""
+        return self._head_future is None
+
     @property
     def reusable(self):
         """Whether the connection can carry another exchange."""
@@ -166,6 +206,8 @@
     def connection_made(self, transport):
         """Store the transport."""
         self._transport = transport
+        if self.owner is not None:
+            self.owner.on_connected(self)
         _socket_options.enable_keepalive(transport)
 
     def data_received(self, data):
@@ -195,6 +237,8 @@
     def connection_lost(self, exc):
         """End the exchange; a response without a length ends with its connection."""
         self.closed = True
+        if self.owner is not None:
+            self.owner.on_lost(self)
         response = self._response
         if response is not None and not response.complete:
             unframed = not _is_framed(response.headers)
@@ -269,13 +313,14 @@
         response = self._response
         self._head_future = None
         self._response = None
-        self.answered_at = self.now()
+        self.answered_at = self.used_at = self.now()
         response.complete = True
         response._notify()
 
     def _fail(self, failure):
         is_unanswered = failure is Failure.RESET and not self._has_received
         error = (UnansweredError if is_unanswered else ExchangeError)(failure)
+        self.used_at = self.now()
         future, self._head_future = self._head_future, None
         response, self._response = self._response, None
         if future is not None and not future.done():
@@ -309,105 +354,3 @@
         name == b"content-length" or (name == b"transfer-encoding" and b"chunked" in v)
         for name, v in headers
     )
-
-
-#: Seconds until an attempt to connect fails. Connecting takes at most two round trips,
-#: which are 4 ms between data centres.
-CONNECT_TIMEOUT = 0.25
-
-
-class ConnectionPool:
-    """Connection pool of one backend server.
-
-    :param address: ``(host, port)``.
-    :param now: function that returns monotonic seconds.
-    :param connect_timeout: seconds until an attempt to connect fails.
-    """
-
-    def __init__(self, address, now, connect_timeout=CONNECT_TIMEOUT):
-        self.address = address
-        self.now = now
-        self.connect_timeout = connect_timeout
-        self._idle = collections.deque()
-        self._open = 0
-
-    @property
-    def has_idle(self):
-        """Whether the pool holds an idle connection."""
-        return bool(self._idle)
-
-    async def acquire(self, limit, fresh=False):
-        """Return an idle connection or a new one.
-
-        :param limit: maximum number of connections of this process to the server.
-        :param fresh: whether to close the idle connections and return a new one.
-        :raises ExchangeError: if no connection is available; nothing was sent.
-        """
-        if fresh:
-            self.close()
-        connection = self.take_idle()
-        if connection is not None:
-            return connection
-        if self._open >= limit:
-            raise ExchangeError(Failure.UNREACHABLE)
-        return await self.connect()
-
-    def take_idle(self):
-        """Return the idle connection that was used last, or ``None``."""
-        now = self.now()
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.reusable and connection.idle_until > now:
-                return connection
-            self.discard(connection)
-        return None
-
-    def sweep(self):
-        """Close idle connections that have ended or are about to expire."""
-        now = self.now()
-        for connection in list(self._idle):
-            if not connection.reusable or connection.idle_until <= now:
-                self._idle.remove(connection)
-                self.discard(connection)
-
-    async def connect(self):
-        """Open a new connection.
-
-        :raises ExchangeError: if none can be opened.
-        """
-        loop = asyncio.get_running_loop()
-        started = self.now()
-        self._open += 1
-        try:
-            async with asyncio.timeout(self.connect_timeout):
-                _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(self.now), *self.address
-                )
-        except (ConnectionRefusedError, ConnectionResetError) as error:
-            self._open -= 1
-            raise ExchangeError(Failure.REFUSED) from error
-        except (OSError, TimeoutError) as error:
-            self._open -= 1
-            raise ExchangeError(Failure.UNREACHABLE) from error
-        except asyncio.CancelledError:
-            self._open -= 1
-            raise
-        connection.round_trip = self.now() - started
-        return connection
-
-    def release(self, connection):
-        """Return a connection to the pool after its exchange."""
-        if connection.reusable:
-            self._idle.append(connection)
-        else:
-            self.discard(connection)
-
-    def discard(self, connection):
-        """Close a connection and remove it from the pool."""
-        self._open -= 1
-        connection.abort()
-
-    def close(self):
-        """Close the idle connections."""
-        while self._idle:
-            self.discard(self._idle.pop())
--- a/boragegw/gateway/tests/test_socket_options.py
+++ b/boragegw/gateway/tests/test_socket_options.py
@@ -8,7 +8,7 @@
 import time
 
 from boragegw import gateway
-from boragegw.gateway import _socket_options, _upstream
+from boragegw.gateway import _socket_options
 
 #: Socket option of Linux that attaches a packet filter; Python has no name for it.
 SO_ATTACH_FILTER = 26
@@ -99,7 +99,7 @@
         endpoint = gateway.Endpoint(respond, now=time.monotonic)
         server = await endpoint.listen(("127.0.0.1", 0))
         address = server.sockets[0].getsockname()
-        pool = _upstream.ConnectionPool(address, time.monotonic)
+        pool = gateway.ConnectionPool(address, time.monotonic)
         opened = await pool.connect()
         await opened.start(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n", lambda _: True)
         (accepted,) = endpoint.connections
@@ -108,7 +108,7 @@
             for connection in (opened, accepted)
         ]
         result = [read_options(sock) for sock in sockets]
-        pool.discard(opened)
+        opened.abort()
         server.close()
         return result
 
--- a/boragegw/platform/_endpoints.py
+++ b/boragegw/platform/_endpoints.py
@@ -86,7 +86,10 @@
         process = self.process
         board = process.board
         configuration = board.configuration
+        counted, transports = process.selector.connection_counts()
         gauges = {
+            "server_connections_counted": counted,
+            "server_connections_open": transports,
             "ready": int(board.ready),
             "servers": len(board.servers),
             "peers": len(process.membership.alive()),
--- a/boragegw/platform/tests/test_pipelined_requests.py
+++ b/boragegw/platform/tests/test_pipelined_requests.py
@@ -256,7 +256,7 @@
     process = installation.processes["gw-0"]
     assert process.pipelining.memory.used_bytes == 0
     pools = process.selector._pools.values()
-    assert sum(pool._open - len(pool._idle) for pool in pools) == 0
+    assert sum(pool.in_use for pool in pools) == 0
 
 
 @COUNTS
--- a/boragegw/platform/tests/test_stalled_answers.py
+++ b/boragegw/platform/tests/test_stalled_answers.py
@@ -47,7 +47,7 @@
 def connections_in_use(installation):
     """Return the number of connections to backend servers held by requests."""
     pools = installation.processes["gw-0"].selector._pools.values()
-    return sum(pool._open - len(pool._idle) for pool in pools)
+    return sum(pool.in_use for pool in pools)
 
 
 def start_call(installation, deadline_ms):
--- a/boragegw/standins/__init__.py
+++ b/boragegw/standins/__init__.py
@@ -41,6 +41,7 @@
 )
 from boragegw.standins._platform import PublishedState, StandinPlatform
 from boragegw.standins._port_reservation import PortReservation
+from boragegw.standins._process_fleet import GatewayProcess, ProcessFleet
 from boragegw.standins._route_generator import generate_routes
 from boragegw.standins._virtual_backend import RunEvent, VirtualBackend, VirtualFaults
 from boragegw.standins._virtual_fleet import ServiceSpec, VirtualFleet
@@ -51,12 +52,12 @@
 )
 from boragegw.standins._virtual_transport import VirtualTransport
 from boragegw.standins._wire_backend import WireBackend, WireFaults
+from boragegw.standins._wire_calls import Response, encode_request, send_request
 from boragegw.standins._wire_installation import (
     PEER_PORT,
     RELAY_PORT,
     STORE_ADDRESS,
     WireInstallation,
-    encode_request,
 )
 from boragegw.standins._wire_store import WireStore
 
@@ -91,6 +92,10 @@
     "ServiceSpec",
     "OutcomeShares",
     "PortReservation",
+    "ProcessFleet",
+    "GatewayProcess",
+    "Response",
+    "send_request",
     "StandinBackend",
     "StandinPlatform",
     "VirtualBackend",
--- a/boragegw/standins/_directory_callers.py
+++ b/boragegw/standins/_directory_callers.py
@@ -5,7 +5,7 @@
 import json
 import random
 
-from boragegw.standins import _wire_installation
+from boragegw.standins import _wire_calls, _wire_installation
 
 #: Maximum number of directories that a caller asks, and seconds that it allows each.
 DIRECTORY_ATTEMPTS = 3
@@ -184,7 +184,7 @@
                     headers,
                 )
         except TimeoutError:
-            response = _wire_installation.Response(0, {}, b"", remaining)
+            response = _wire_calls.Response(0, {}, b"", remaining)
         signature = response.headers.get("x-server-signature")
         attempt = Attempt(
             request_id,
--- a/boragegw/standins/_pipelining_caller.py
+++ b/boragegw/standins/_pipelining_caller.py
@@ -4,7 +4,7 @@
 import collections
 import dataclasses
 
-from boragegw.standins import _wire_installation
+from boragegw.standins import _wire_calls, _wire_installation
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,7 +62,7 @@
         request_id = self.installation.next_request_id()
         headers = {"x-request-id": request_id, "x-deadline-ms": "5000"}
         headers.update({k.replace("_", "-"): v for k, v in fields.items()})
-        sent = _wire_installation.encode_request(path, method, body, headers)
+        sent = _wire_calls.encode_request(path, method, body, headers)
         self.unanswered.append((request_id, method, self.installation.loop.time()))
         self._finished.clear()
         self.transport.write(sent + raw_body)
--- a/boragegw/standins/_wire_installation.py
+++ b/boragegw/standins/_wire_installation.py
@@ -1,13 +1,17 @@
 """An in-memory installation of gateway processes, a store and backend servers."""
 
 import asyncio
-import dataclasses
 import math
 import os
 import random
 
 from boragegw import gateway, platform
-from boragegw.standins import _memory_network, _wire_backend, _wire_store
+from boragegw.standins import (
+    _memory_network,
+    _wire_backend,
+    _wire_calls,
+    _wire_store,
+)
 
 STORE_ADDRESS = ("store", 1)
 CALLER_PORT = 8548
@@ -17,21 +21,7 @@
 METRICS_PORT = 7541
 PEER_PORT = 7540
 RELAY_PORT = 7542
-HOST_NAME = "site.example"
-
-
-@dataclasses.dataclass(slots=True)
-class Response:
-    """A response to a caller.
-
-    :param status: HTTP status, or 0 if the connection ended without a response.
-    :param seconds: time from the start of the connection until the end of the response.
-    """
-
-    status: int
-    headers: dict
-    body: bytes
-    seconds: float
+HOST_NAME = _wire_calls.HOST_NAME
 
 
 #: Events of errors of a process itself, which goes on in spite of them.
@@ -230,29 +220,7 @@
 
     async def send_request(self, address, path, method="GET", body=b"", headers=None):
         """Send a request to any address and return the :class:`Response`."""
-        started = self.loop.time()
-        client = gateway.UpstreamConnection(self.loop.time)
-        try:
-            await self.loop.create_connection(lambda: client, *address)
-            response = await client.start(
-                encode_request(path, method, body, headers or {}), lambda _: True
-            )
-            received = b""
-            while not (response.complete and not response.body):
-                received += response.read_buffered()
-                if response.error is not None:
-                    raise response.error
-                if not response.complete:
-                    await response.changed()
-        except (gateway.ExchangeError, OSError):
-            return Response(0, {}, b"", self.loop.time() - started)
-        except asyncio.CancelledError:
-            client.abort()
-            raise
-        response_headers = {k.decode(): v.decode() for k, v in response.headers}
-        return Response(
-            response.status, response_headers, received, self.loop.time() - started
-        )
+        return await _wire_calls.send_request(address, path, method, body, headers)
 
     def runs(self, path=None):
         """Return (request id, target, body) of each run on any backend server.
@@ -261,13 +229,3 @@
         """
         runs = [run for backend in self.backends.values() for run in backend.runs]
         return [run for run in runs if path is None or run[1].decode() == path]
-
-
-def encode_request(path, method="GET", body=b"", headers=None, host=HOST_NAME):
-    """Return the bytes of an HTTP/1.1 request."""
-    headers = {"host": host, **(headers or {})}
-    lines = [f"{method} {path} HTTP/1.1"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    if body:
-        lines.append(f"content-length: {len(body)}")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
