Quarantine: crashes one after another count, not the requests that a crash ends

Cause: one crash of one server was counted once for each request that it ended, and told to the others once each, who counted again; answers and time took nothing back.

Class: evidence that is counted more than once for one event. At fault: reset observer and policy of the gateway, notices of other processes, the own interface (two equal reads on a server that crashed, 300 s). Not at fault: limits of servers, allotments and notices of resetting services, which are states with a source and a number.

Change: a crash counts once, by the server's identity and start time, whoever tells of it, and only if the request was sent there after the last crash that counts; an answer clears the evidence, and it is forgotten after 120 s. Three within 0.05 s are not in turn. A cause runs four times at most before it is refused by all, three before; later than 3 s after the third crash once at most, allowed are three.

--- a/boragegw/balancing/__init__.py
+++ b/boragegw/balancing/__init__.py
@@ -37,7 +37,7 @@
     eligible_servers,
     expected_latency,
 )
-from boragegw.balancing._quarantine import QuarantinePolicy
+from boragegw.balancing._quarantine import Crash, QuarantinePolicy
 from boragegw.balancing._reachability import ReachabilityPolicy, ServiceReach
 from boragegw.balancing._relaying import RelayPolicy
 from boragegw.balancing._repeats import (
@@ -89,6 +89,7 @@
     "BudgetWindow",
     "CallerLimits",
     "Configuration",
+    "Crash",
     "Departure",
     "DistanceWeight",
     "EqualShares",
--- a/boragegw/entry/_executor.py
+++ b/boragegw/entry/_executor.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from boragegw import backends, blackboard, decisions, errors, messages
+from boragegw import backends, balancing, blackboard, decisions, errors, messages
 from boragegw.entry import _hedged_attempt, _response_bodies, _tracing
 
 #: Gateway errors, after which an idempotent request is retried.
@@ -354,6 +354,8 @@
         latency = attempt_record.ended_at - attempt_record.started_at
         attempt_record.outcome = str(response.status)
         failed = response.status >= 500
+        if not failed and self.policies.quarantine.has_evidence:
+            self.policies.quarantine.observe_answer(state.stable_fingerprint())
         verdict = errors.Verdict.MAY_HAVE_RUN if failed else errors.Verdict.RAN
         attempt_record.verdict = verdict.value
         self.observer.observe_response(
@@ -441,13 +443,27 @@
             return False
         quarantine = self.policies.quarantine
         fingerprint = state.stable_fingerprint()
+        crash = self._crash_of(state, error)
         if not quarantine.observe_crash(
-            self.board.quarantined, fingerprint, state.idempotent, self.clock.now()
+            self.board.quarantined, fingerprint, state.idempotent, crash
         ):
             return False
         self.on_quarantine(fingerprint, quarantine.duration)
         return True
 
+    def _crash_of(self, state, error):
+        """Return the :class:`~boragegw.balancing.Crash` of a broken attempt.
+
+        A server that restarts has another incarnation, which is not known by then.
+        """
+        now = self.clock.now()
+        started = [
+            attempt.started_at
+            for attempt in state.request_record.attempts
+            if attempt.backend == error.backend
+        ]
+        return balancing.Crash(error.backend, started[-1] if started else now, now)
+
     def _final_error(self, state, error):
         """Return the error to send to the caller."""
         if error.failure is backends.Failure.REFUSED:
--- a/boragegw/gateway/_forwarder.py
+++ b/boragegw/gateway/_forwarder.py
@@ -123,7 +123,7 @@
         """
         admission = request.admission
         route = admission.route
-        if self.sender.is_quarantined(request):
+        if self.sender.crashes.is_quarantined(request):
             self.admission.refund(admission)
             raise _admission.RejectedError(Rejection.QUARANTINED, RETRY_QUARANTINED)
         service_name = self._chosen_service(request, route)
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -223,8 +223,8 @@
         self.membership.on_store_notice = self.store_alarm.receive
         self.follower.store_access.on_lost = self.store_alarm.notify
         self.membership.on_server_limit = self.server_limits.receive
-        self.membership.on_crash = self.forwarder.sender.observe_crash
-        self.forwarder.sender.broadcast_crash = self.membership.broadcast_crash
+        self.membership.on_crash = self.forwarder.sender.crashes.receive
+        self.forwarder.sender.crashes.broadcast = self.membership.broadcast_crash
         self.membership.on_resetting = self._learn_resetting
         resets = self.forwarder.sender.resets
         resets.broadcast = self.membership.broadcast_resetting
--- a/boragegw/gateway/_membership.py
+++ b/boragegw/gateway/_membership.py
@@ -63,7 +63,7 @@
 
     :param local_member: this process's :class:`Member`, updated by its owner.
     :param seeds: function that returns the ``(host, port)`` pairs of the seeds.
-    :ivar on_crash: called with the fingerprint of each :class:`CrashNotice`.
+    :ivar on_crash: called with each :class:`CrashNotice`.
     :ivar on_allotment: called with each message about allotments.
     :ivar on_store_notice: called with each :class:`StoreNotice`.
     :ivar on_server_limit: called with each
@@ -220,9 +220,8 @@
     def _take(self, news):
         return news.take_messages(self.local_member, self.now()) if news else []
 
-    def broadcast_crash(self, fingerprint):
-        """Report to all live processes that a request crashed a backend server."""
-        notice = _peer_messages.CrashNotice(fingerprint)
+    def broadcast_crash(self, notice):
+        """Send a :class:`CrashNotice` to all live processes."""
         self.send_message(self.roster.alive(), notice)
 
     def broadcast_resetting(self, service):
@@ -440,7 +439,7 @@
 
     def _handle_crash(self, message, addr):
         if self.on_crash is not None:
-            self.on_crash(message.fingerprint)
+            self.on_crash(message)
 
     def _handle_allotment(self, message, addr):
         if self.on_allotment is not None:
--- a/boragegw/gateway/_peer_messages.py
+++ b/boragegw/gateway/_peer_messages.py
@@ -182,9 +182,21 @@
 
 
 class CrashNotice(msgspec.Struct, array_like=True, tag="c"):
-    """A backend server crashed while it ran the request with this fingerprint."""
+    """A backend server crashed while it ran the request with this fingerprint.
+
+    Former builds state the fingerprint only.
+
+    :param server: identity of the server.
+    :param started_ms: start time of the server in Unix milliseconds; 0 if unknown.
+    :param ago_ms: milliseconds since the crash.
+    :param ran_ms: milliseconds for which the request had run then.
+    """
 
     fingerprint: bytes
+    server: str = ""
+    started_ms: int = 0
+    ago_ms: int = 0
+    ran_ms: int = 0
 
 
 class StoreNotice(msgspec.Struct, array_like=True, tag="s"):
--- a/boragegw/gateway/_reset_observer.py
+++ b/boragegw/gateway/_reset_observer.py
@@ -1,15 +1,36 @@
 """Resets by backend servers: full servers are told apart from crashed ones."""
 
+import dataclasses
+
 from boragegw import balancing, utils
 from boragegw.gateway import _upstream
 
 
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class SuspectedCrash:
+    """A request whose connection a server has reset, perhaps by a crash.
+
+    :param started_ms: start time of the server as listed when it got the request.
+    :param cause: the :class:`~boragegw.balancing.ResetCause`.
+    :param sent_at: monotonic seconds at which the request was sent.
+    :param reset_at: monotonic seconds of the reset.
+    """
+
+    call: object
+    server: object
+    started_ms: int
+    cause: object
+    sent_at: float
+    reset_at: float
+
+
 class ResetObserver:
     """Classifies resets, and checks whether a server has crashed.
 
     :param board: the :class:`Blackboard`.
     :param selector: a :class:`ServerSelector`.
-    :param on_crash: called with the call and the server after a proved crash.
+    :param on_crash: called with the list of :class:`SuspectedCrash` of a server after
+        it is proved.
     :param now: function that returns monotonic seconds.
     :param log: an :class:`EventLog`.
     :ivar resetting: names of the services whose servers reset when full.
@@ -28,10 +49,11 @@
         self._suspected = {}
         self._checks = utils.TaskSet()
 
-    def observe(self, call, selection, error):
+    def observe(self, call, selection, error, sent_at):
         """Record a failed exchange; return the :class:`ResetCause` of a reset.
 
         :param error: an :class:`ExchangeError`.
+        :param sent_at: monotonic seconds at which the request was sent.
         :return: ``None`` if it was no reset before a response.
         """
         if error.failure is not _upstream.Failure.RESET:
@@ -47,7 +69,11 @@
             )
         self.board.counters[f"attempts.reset.{cause.name.lower()}"] += 1
         suspected = self._suspected.setdefault(server.identity, [])
-        suspected.append((call, cause))
+        suspected.append(
+            SuspectedCrash(
+                call, server, server.listing.started_ms, cause, sent_at, self.now()
+            )
+        )
         if len(suspected) == 1:
             self._checks.start(self._check(server), "crash check")
         return cause
@@ -84,9 +110,11 @@
                 count = len(suspected)
                 crashed = await self.selector.has_crashed(server)
                 if crashed is False:
-                    await self._ask_for_load(server, suspected[0][0])
-                for call, cause in suspected[:count]:
-                    self._conclude(call, server, cause, crashed)
+                    await self._ask_for_load(server, suspected[0].call)
+                for suspicion in suspected[:count]:
+                    self._conclude(suspicion, crashed)
+                if crashed:
+                    self.on_crash(suspected[:count])
                 del suspected[:count]
         finally:
             del self._suspected[server.identity]
@@ -96,12 +124,11 @@
         if not call.state.full_servers.resets_when_full:
             await self.selector.ask_for_load(server, call.service, call.state)
 
-    def _conclude(self, call, server, cause, crashed):
-        may_be_full = cause is not balancing.ResetCause.OTHER
-        if crashed:
-            if may_be_full:
-                server.failures.observe(True, self.now())
-            self.on_crash(call, server)
+    def _conclude(self, suspicion, crashed):
+        call, server = suspicion.call, suspicion.server
+        may_be_full = suspicion.cause is not balancing.ResetCause.OTHER
+        if crashed and may_be_full:
+            server.failures.observe(True, self.now())
         elif crashed is False and may_be_full:
             call.state.full_servers.observe_accepting(server, self.now())
             self._publish_if_learnt(call, server)
--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -7,6 +7,7 @@
     _admission,
     _call,
     _capacity_queue,
+    _crash_record,
     _exchange,
     _reset_observer,
     _server_search,
@@ -46,8 +47,7 @@
     :param now: function that returns monotonic seconds.
     :param log: an :class:`EventLog`.
     :ivar relay: the :class:`Relay`, or ``None`` if there are no other processes.
-    :ivar broadcast_crash: function that reports the fingerprint of a request to the
-        other processes after a crash, or ``None``.
+    :ivar crashes: the :class:`CrashRecord`.
     """
 
     def __init__(
@@ -61,29 +61,15 @@
         self.stop_gate = stop_gate
         self.now = now
         self.log = log
-        # A crash may have another cause than the request, so a single crash quarantines
-        # nothing. Three crashes in a row with the same request content are hardly a
-        # coincidence.
-        self.quarantine = balancing.QuarantinePolicy(
-            idempotent_crashes=3, non_idempotent_crashes=3, duration=60.0
-        )
         self.relay = None
-        self.broadcast_crash = None
         self.search = _server_search.ServerSearch(selector, shedding.report_age, now)
         selector.on_room = self._offer
         self._queues = {}
-        self._quarantined = {}
+        self.crashes = _crash_record.CrashRecord(now=now, log=log)
         self.resets = _reset_observer.ResetObserver(
-            board, selector, self._on_crash, now=now, log=log
+            board, selector, self.crashes.observe, now=now, log=log
         )
 
-    def is_quarantined(self, request):
-        """Return whether the request has crashed the servers that executed it."""
-        if not self._quarantined:
-            return False
-        fingerprint = _call.request_fingerprint(request)
-        return self.quarantine.covers(self._quarantined, fingerprint, self.now())
-
     async def send(self, call, hedge=False):
         """Select a server and send the request; return an :class:`AttemptOutcome`.
 
@@ -296,7 +282,7 @@
             )
         except _upstream.ExchangeError as error:
             connection.abort()
-            cause = self.resets.observe(call, selection, error)
+            cause = self.resets.observe(call, selection, error, now)
             if cause in (None, balancing.ResetCause.OTHER):
                 self._observe_failure(server)
                 self.selector.reach.observe_silence(server)
@@ -353,6 +339,7 @@
         self.board.histograms["attempt_seconds"].observe(now - started)
         server.failures.observe(failed, now)
         if not failed:
+            self.crashes.observe_answer(call.request)
             call.state.hedging.observe(now - started)
             call.state.latencies.observe(call.route.name, now - started, now)
         connection = None if response.complete else selection.connection
@@ -371,27 +358,6 @@
         if limit is not None or self.dialect.is_authentic(response):
             self.selector.limits.observe(server, limit, sent_at)
 
-    def _on_crash(self, call, server):
-        fingerprint = _call.request_fingerprint(call.request)
-        self.log.event(
-            "server-crashed",
-            server=server.identity,
-            request=call.request_id.decode("latin-1"),
-            fingerprint=fingerprint.hex(),
-        )
-        self.observe_crash(fingerprint)
-        if self.broadcast_crash is not None:
-            self.broadcast_crash(fingerprint)
-
-    def observe_crash(self, fingerprint):
-        """Count a crash by the request's fingerprint.
-
-        The crash was seen by this process or reported by another one.
-        """
-        now = self.now()
-        if self.quarantine.observe_crash(self._quarantined, fingerprint, True, now):
-            self.log.event("quarantined", fingerprint=fingerprint.hex())
-
     def _observe_failure(self, server):
         server.failures.observe(True, self.now())
 
