Addresses: an entry whose address nobody can connect to names no server

What callers saw: beside an entry of another writer with the address 127.0.0.1:99999 or 127.0..1:8080, 3 in 100 requests ended with a closed connection and were sent to no server.

Cause: any text before a colon and any digits behind it were an address; connecting to one raises OverflowError or UnicodeError, which ended the request and left the attempt counted.

Class: a value from outside that is first used where an exception costs a request. Store: at fault (entries). Own interface: its pool let the same exceptions out. Peers and settings: addresses come from the own settings, whose form is checked.

Change: platform/_addresses.py takes IPv4, or IPv6 in brackets, and a port from 1 to 65535. Any exception of an attempt to connect is that attempt's failure. Hosts of the in-memory network have names, so its installation passes a parser of its own; one test that built its own decoder lists an IP address now.

--- a/boragegw/backends/_pool.py
+++ b/boragegw/backends/_pool.py
@@ -100,7 +100,8 @@
             stream = await _stream.WriteCountingStream.open(
                 self.address, self.connect_timeout
             )
-        except OSError as error:
+        except Exception as error:
+            # Not only OSError: an address may be one that cannot be encoded.
             self._open_count -= 1
             raise _base.AttemptError(
                 _base.Failure.UNREACHABLE,
--- a/boragegw/gateway/_connection_pool.py
+++ b/boragegw/gateway/_connection_pool.py
@@ -100,7 +100,8 @@
                 )
         except (ConnectionRefusedError, ConnectionResetError) as error:
             raise _upstream.ExchangeError(_upstream.Failure.REFUSED) from error
-        except (OSError, TimeoutError) as error:
+        except Exception as error:
+            # Not only OSError: an address may be one that cannot be encoded.
             raise _upstream.ExchangeError(_upstream.Failure.UNREACHABLE) from error
         finally:
             self._connecting -= 1
--- a/boragegw/platform/_document_decoder.py
+++ b/boragegw/platform/_document_decoder.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from boragegw import accounts, balancing, gateway, utils
-from boragegw.platform import _schemas, _wire_names
+from boragegw.platform import _addresses, _schemas, _wire_names
 
 #: An ``upload`` has a large body and is executed at most once.
 ROUTE_KINDS = {
@@ -30,12 +30,15 @@
 
     :param log: an :class:`~boragegw.gateway.EventLog`.
     :param counters: mapping in which unreadable records are counted, or ``None``.
+    :param parse_address: function from the text of a server's address to
+        ``(host, port)``, which raises :class:`ValueError`.
     """
 
     configuration_key = _wire_names.CONFIGURATION_KEY
 
-    def __init__(self, log, counters=None):
+    def __init__(self, log, counters=None, parse_address=_addresses.parse_address):
         self.log = log
+        self.parse_address = parse_address
         self.counters = collections.Counter() if counters is None else counters
         self._server = utils.InputDecoder(
             msgspec.json.Decoder(_schemas.WireServer).decode
@@ -49,9 +52,8 @@
             return None
         try:
             wire = self._server.decode(record.value)
-            return _to_listing(
-                record.key.removeprefix(_wire_names.SERVERS_PREFIX), wire
-            )
+            identity = record.key.removeprefix(_wire_names.SERVERS_PREFIX)
+            return _to_listing(identity, wire, self.parse_address(wire.address))
         except ValueError as error:
             self.counters["records.unreadable"] += 1
             self.log.event("foreign-entry", key=record.key, reason=str(error))
@@ -171,10 +173,7 @@
         return None
 
 
-def _to_listing(identity, wire):
-    host, _, port = wire.address.rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"address {wire.address!r}: expected host:port")
+def _to_listing(identity, wire, address):
     if wire.status.state not in SERVER_STATES:
         raise ValueError(
             f"state {wire.status.state!r}: expected {sorted(SERVER_STATES)}"
@@ -182,7 +181,7 @@
     return balancing.Listing(
         identity=identity,
         service=wire.info.service,
-        address=(host, int(port)),
+        address=address,
         data_centre=wire.info.zone,
         version=wire.info.version,
         slots=wire.info.slots,
--- a/boragegw/platform/_process.py
+++ b/boragegw/platform/_process.py
@@ -8,6 +8,7 @@
 
 from boragegw import errors, gateway
 from boragegw.platform import (
+    _addresses,
     _dialect,
     _document_decoder,
     _endpoints,
@@ -20,18 +21,21 @@
 EXIT_BAD_SETTINGS = 2
 
 
-def build_gateway(settings, log, now, random_state=None):
+def build_gateway(
+    settings, log, now, random_state=None, parse_address=_addresses.parse_address
+):
     """Return a :class:`~boragegw.gateway.Gateway` for this platform.
 
     :param settings: :class:`PlatformSettings`.
     :param log: an :class:`~boragegw.gateway.EventLog`.
     :param now: function that returns monotonic seconds.
+    :param parse_address: see :class:`DocumentDecoder`.
     """
     board = gateway.Blackboard()
     return gateway.Gateway(
         settings.gateway,
         _dialect.PlatformDialect(),
-        _document_decoder.DocumentDecoder(log, board.counters),
+        _document_decoder.DocumentDecoder(log, board.counters, parse_address),
         _store_client.StoreClient(settings.store, now, board.counters, log),
         board=board,
         log=log,
--- a/boragegw/platform/tests/test_delayed_reports.py
+++ b/boragegw/platform/tests/test_delayed_reports.py
@@ -168,7 +168,7 @@
 
 
 def server_record(sequence, state, revision, retained=False):
-    entry = standins.WireBackend("i-0", ("host-i-0", 9000)).entry(
+    entry = standins.WireBackend("i-0", ("10.0.0.1", 9000)).entry(
         "app", state=state, seq=sequence
     )
     return gateway.Record(KEY, json.dumps(entry).encode(), revision, retained)
--- a/boragegw/standins/_wire_installation.py
+++ b/boragegw/standins/_wire_installation.py
@@ -178,7 +178,9 @@
         _memory_network.CURRENT_HOST.set(settings.gateway.name)
         log = _ProcessLog(settings.gateway.name, self.loop)
         random_state = random.Random(f"{self.seed} {settings.gateway.name}")
-        process = platform.build_gateway(settings, log, self.loop.time, random_state)
+        process = platform.build_gateway(
+            settings, log, self.loop.time, random_state, _parse_name
+        )
         await process.start()
         await platform.open_endpoints(process, settings)
         self.processes[settings.gateway.name] = process
@@ -229,3 +231,11 @@
         """
         runs = [run for backend in self.backends.values() for run in backend.runs]
         return [run for run in runs if path is None or run[1].decode() == path]
+
+
+def _parse_name(text):
+    """Return ``(host, port)``; hosts of the in-memory network have names."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"address {text!r}: expected host:port")
+    return host, int(port)
