Numbers in headers: one reader; an odd one costs itself, an error one exchange

Cause: the reader of the report caught ValueError; a number of 400 digits is read and raises OverflowError in the arithmetic. The exception left the handling of the probe or the answer, and with it the request.

Class: numbers from outside that are read by whatever Python takes for one. At fault: load reports, warm-up times and keep-alive of servers, deadlines of callers (nan and 1_0 were refused with 503), queries of processes, load reports of the own interface. Not at fault: limits of servers (digits only), retry-after of the own interface (float).

Change: utils.parse_integer and parse_decimal read all of them. An error in the handling of one answer, or in a search, is logged with its cause and ends that exchange: 502, or 503 as not run if nothing was sent. HTTP/1.1 without Host gets 400; the stand-in of a process in the tests of callers' connections states that it requires one.

--- a/boragegw/backends/_http.py
+++ b/boragegw/backends/_http.py
@@ -4,7 +4,7 @@
 
 import httpcore
 
-from boragegw import errors, messages
+from boragegw import errors, messages, utils
 from boragegw.backends import _base, _load_reports, _pool
 from boragegw.messages import _headers
 
@@ -16,7 +16,7 @@
 
 def _parse_retry_after(value):
     """Return the seconds in a ``retry-after`` header, or ``None``."""
-    return float(value) if value is not None and value.isdigit() else None
+    return None if value is None else utils.parse_decimal(value)
 
 
 class ResponseBody:
--- a/boragegw/backends/_load_reports.py
+++ b/boragegw/backends/_load_reports.py
@@ -2,7 +2,7 @@
 
 import urllib.parse
 
-from boragegw import blackboard
+from boragegw import blackboard, utils
 
 
 def format_report(in_flight, cold, draining, incarnation):
@@ -27,8 +27,12 @@
         return None
     try:
         fields = dict(urllib.parse.parse_qsl(value.decode("ascii"), max_num_fields=16))
+        text = fields["in_flight"]
+        in_flight = utils.parse_integer(text.removeprefix("-").encode())
+        if in_flight is None:
+            return None
         return blackboard.LoadReport(
-            in_flight=max(0, int(fields["in_flight"])),
+            in_flight=0 if text.startswith("-") else in_flight,
             cold=fields.get("cold", "0") == "1",
             draining=fields.get("draining", "0") == "1",
             incarnation=fields.get("incarnation", "")[:64],
--- a/boragegw/gateway/_caller_connection.py
+++ b/boragegw/gateway/_caller_connection.py
@@ -25,7 +25,8 @@
 class CallerConnection(asyncio.Protocol):
     """One connection of a caller.
 
-    :param gateway: has ``now``, ``limits``, ``stopping``, ``body_memory``,
+    :param gateway: has ``now``, ``limits``, ``stopping``, ``requires_host``,
+        ``body_memory``,
         ``check_head(request)``, ``error_response(status, request)``,
         ``log_error(error)`` and the coroutines ``confirm_limits()``,
         ``confirm_refusal(request)`` and ``serve(request, writer)``. An owner whose
@@ -182,7 +183,10 @@
         request.keep_alive = self._parser.should_keep_alive()
         self._head_done = True
         self._arm(self.gateway.limits.idle_timeout, self._on_slow_body)
-        error_status = _head_checks.head_status(request, self.gateway.limits)
+        error_status = self._missing_host_status(request)
+        error_status = error_status or _head_checks.head_status(
+            request, self.gateway.limits
+        )
         error_status = error_status or self._body_memory_error(request)
         if _head_checks.has_body(request):
             error_status = error_status or self.gateway.check_head(request)
@@ -194,6 +198,12 @@
             and self._parser.get_http_version() != "1.0"
         )
 
+    def _missing_host_status(self, request):
+        """Return 400 for a request of HTTP/1.1 without Host (RFC 9112, 3.2), or 0."""
+        if not self.gateway.requires_host or self._parser.get_http_version() == "1.0":
+            return 0
+        return 400 if request.header(b"host") is None else 0
+
     def _body_memory_error(self, request):
         """Reserve memory for the stated body length; return 0, or 503 on failure.
 
--- a/boragegw/gateway/_endpoint.py
+++ b/boragegw/gateway/_endpoint.py
@@ -31,6 +31,9 @@
     :param now: function that returns monotonic seconds.
     """
 
+    #: Probes may be as simple as they like; the address alone selects the endpoint.
+    requires_host = False
+
     def __init__(self, handler, *, now):
         self.handler = handler
         self.now = now
--- a/boragegw/gateway/_forwarder.py
+++ b/boragegw/gateway/_forwarder.py
@@ -238,7 +238,7 @@
                 )
                 for attempt in done & running:
                     running.discard(attempt)
-                    outcome = attempt.result()
+                    outcome = self._outcome_of(call, attempt)
                     winner = self._handle_outcome(call, outcome, winner)
                     if outcome.sent or not call.attempts:
                         continue
@@ -258,6 +258,23 @@
             for attempt in running:
                 self._abandon(call, attempt)
 
+    def _outcome_of(self, call, attempt):
+        """Return the outcome of an attempt, also if an error of this process ended it.
+
+        Guards against a connection that is closed without a response.
+        """
+        error = attempt.exception()
+        if error is None:
+            return attempt.result()
+        self.board.counters["requests.defects"] += 1
+        self.log.event(
+            "request-defect",
+            request=call.request_id.decode("latin-1"),
+            error=repr(error),
+        )
+        verdict = Verdict.MAY_HAVE_RUN if call.attempts else Verdict.NOT_RUN
+        return _call.AttemptOutcome(verdict, reason="defect")
+
     def _is_abandoned(self, call):
         """Return whether the caller has disconnected and the request may be cancelled.
 
--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -61,9 +61,12 @@
     :param board: the :class:`Blackboard`.
     :param log: an :class:`EventLog`.
     :param now: function that returns monotonic seconds.
+    :ivar requires_host: whether requests of HTTP/1.1 need a Host header.
     :ivar started_at: monotonic seconds of the start of the process.
     """
 
+    requires_host = True
+
     def __init__(
         self,
         settings,
--- a/boragegw/gateway/_relay_listener.py
+++ b/boragegw/gateway/_relay_listener.py
@@ -21,6 +21,8 @@
     :param gateway: the :class:`~boragegw.gateway.Gateway`.
     """
 
+    requires_host = True
+
     def __init__(self, gateway):
         self.gateway = gateway
         self._limits = None
--- a/boragegw/gateway/_replication.py
+++ b/boragegw/gateway/_replication.py
@@ -100,7 +100,10 @@
         if path == RECORDS:
             return self._records()
         if path == CHANGES:
-            return await self._changes(_endpoint.query_of(request))
+            try:
+                return await self._changes(_endpoint.query_of(request))
+            except ValueError:
+                return _endpoint.EndpointResponse(400)
         if path == RETAINED:
             return self._endpoint_response(map(_full_change, self.catalogue.retained))
         if path == CONFIRMATION and self.confirm is not None:
--- a/boragegw/gateway/_sender.py
+++ b/boragegw/gateway/_sender.py
@@ -302,7 +302,24 @@
                 server=server,
                 reason=FULL_RESET if is_full else reason.name,
             )
-        return self._process_response(call, selection, response, now)
+        try:
+            return self._process_response(call, selection, response, now)
+        except Exception as error:
+            # Only this exchange ends. The request may be sent again, as its route says.
+            return self._defect_outcome(call, server, error)
+
+    def _defect_outcome(self, call, server, error):
+        """Log an error of this process; return the outcome of its attempt."""
+        self.board.counters["requests.defects"] += 1
+        self.log.event(
+            "request-defect",
+            request=call.request_id.decode("latin-1"),
+            server=server.identity,
+            error=repr(error),
+        )
+        return _call.AttemptOutcome(
+            Verdict.MAY_HAVE_RUN, server=server, reason="defect"
+        )
 
     def _process_response(self, call, selection, response, started):
         now = self.now()
--- a/boragegw/gateway/_upstream.py
+++ b/boragegw/gateway/_upstream.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from boragegw import utils
 from boragegw.gateway import _framing, _socket_options
 
 #: Bytes of a response that are buffered before reading from the backend server pauses.
@@ -353,7 +354,8 @@
     if value is None:
         return None
     for part in value.split(b","):
-        name, _, seconds = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and seconds.strip().isdigit():
-            return max(0.0, int(seconds) - IDLE_MARGIN)
+        name, _, text = part.strip().partition(b"=")
+        seconds = utils.parse_integer(text)
+        if name.lower() == b"timeout" and seconds is not None:
+            return max(0.0, seconds - IDLE_MARGIN)
     return None
--- a/boragegw/gateway/tests/test_caller_connection.py
+++ b/boragegw/gateway/tests/test_caller_connection.py
@@ -49,6 +49,8 @@
 class Process:
     """Stand-in for the gateway process that records the requests it serves."""
 
+    requires_host = True
+
     def __init__(self, **limits):
         self.limits = balancing.CallerLimits(**limits)
         self.stopping = False
--- a/boragegw/platform/_dialect.py
+++ b/boragegw/platform/_dialect.py
@@ -1,8 +1,6 @@
 """Formats requests and interprets responses as the platform defines them."""
 
-import re
-
-from boragegw import accounts, balancing, gateway
+from boragegw import accounts, balancing, gateway, utils
 from boragegw.platform import _wire_names
 
 #: Hop-by-hop headers and headers that this process sets itself.
@@ -25,7 +23,8 @@
     )
 )
 MISDIRECTED_REQUEST = 421
-DECIMAL_NUMBER = re.compile(rb"[0-9]{1,15}(\.[0-9]{1,15})?")
+#: Numbers of a load report that are read; more are ignored.
+MAX_LOAD_PARTS = 4
 REASON_PHRASES = {
     400: "Bad Request",
     401: "Unauthorized",
@@ -115,11 +114,12 @@
         value = _header_value(response.headers, _wire_names.LOAD_REPORT)
         if value is None:
             return None
-        parts = value.split(b",")
-        try:
-            running, waiting, slots = (int(part) for part in parts[:3])
-            percent = float(parts[3]) if len(parts) > 3 else 100.0
-        except ValueError:
+        parts = value.split(b",", MAX_LOAD_PARTS)
+        if len(parts) < 3:
+            return None
+        running, waiting, slots = map(utils.parse_integer, parts[:3])
+        percent = utils.parse_decimal(parts[3]) if len(parts) > 3 else 100.0
+        if None in (running, waiting, slots, percent):
             return None
         return balancing.LoadReport(
             running, waiting, slots, max(0.01, percent / 100.0), now
@@ -128,7 +128,7 @@
     def parse_server_limit(self, response):
         """Return the lowest limit that any response names, or ``None``."""
         texts = (v for n, v in response.headers if n == _wire_names.SERVER_LIMIT)
-        limits = map(_parse_decimal, texts)
+        limits = map(utils.parse_decimal, texts)
         return min((limit for limit in limits if limit is not None), default=None)
 
     def is_not_executed(self, response):
@@ -189,15 +189,8 @@
 
 def _parse_milliseconds(milliseconds):
     """Return ``milliseconds`` as seconds, or ``None`` if it is not a number."""
-    try:
-        return max(0.0, float(milliseconds) / 1000.0)
-    except ValueError:
-        return None
-
-
-def _parse_decimal(text):
-    """Return a decimal number that is not negative, ``None`` for any other text."""
-    return float(text) if DECIMAL_NUMBER.fullmatch(text.strip()) else None
+    number = utils.parse_decimal(milliseconds)
+    return None if number is None else number / 1000.0
 
 
 def _connection_options(headers):
--- a/boragegw/standins/_wire_backend.py
+++ b/boragegw/standins/_wire_backend.py
@@ -55,6 +55,7 @@
     :param handshake_seconds: seconds that accepting a connection takes.
     :ivar limits: requests a second that its answers name as its limit, as texts; one
         header line each.
+    :ivar more_headers: pairs of name and value of further headers of all answers.
     :ivar runs: (request id, target, body) of each request that was run.
     :ivar arrivals: (seconds, request id) of each request but those for another server.
     :ivar probes: number of health checks received.
@@ -81,6 +82,7 @@
         self.body = b"answer of " + identity.encode()
         self.faults = WireFaults()
         self.limits = ()
+        self.more_headers = ()
         self.runs = []
         self.arrivals = []
         self.probes = 0
@@ -248,6 +250,7 @@
             return
         headers = [*id_header, ("x-server-signature", f"sig-{request_id}")]
         headers += [("server-limit", limit) for limit in backend.limits]
+        headers += backend.more_headers
         self._respond(faults.status, headers, backend.body)
 
     def _respond(self, status, headers, body):
--- a/boragegw/utils/__init__.py
+++ b/boragegw/utils/__init__.py
@@ -8,6 +8,7 @@
     MalformedInputError,
     NestedTooDeeplyError,
 )
+from boragegw.utils._numbers import parse_decimal, parse_integer
 from boragegw.utils._parameters import (
     Interval,
     InvalidParameterError,
@@ -33,6 +34,8 @@
     "TaskSet",
     "TokenBucket",
     "VirtualTimeLoop",
+    "parse_decimal",
+    "parse_integer",
     "rendezvous_rank",
     "run_virtual",
     "stable_hash",
