Hedges of the own interface: a place is released also if its attempt never begins

What callers saw: a place of a server was lost for good now and then; the server counted as busier than it is until the entry restarted, and took fewer requests.

Cause: the place of a hedge is reserved before its task is created, and released by the attempt. A task that is cancelled before its first step never runs its coroutine, and that happens if the first attempt ends in the loop iteration in which the hedge starts.

Class: a resource that is taken before a task which gives it back. Gateway: tasks of attempts, probes and searches take what they give back themselves; not at fault. Own interface: the hedge was; executions of keys are not cancelled by themselves.

Change: HedgedAttempt releases the place if its task ends before it has begun.

--- a/boragegw/entry/_executor.py
+++ b/boragegw/entry/_executor.py
@@ -221,6 +221,7 @@
             self._hedge_delay(state),
             self._stall_timeout(state),
             self.tasks.start,
+            lambda candidate: self.dispatcher.release(state.service, candidate),
         )
         return await hedged_attempt.run(backend, reason, fresh)
 
--- a/boragegw/entry/_hedged_attempt.py
+++ b/boragegw/entry/_hedged_attempt.py
@@ -21,6 +21,8 @@
     :param stall_timeout: seconds without a response after which the backend server
         is probed.
     :param start_task: function (coroutine, name) that starts a background task.
+    :param release_hedge_backend: function that releases the capacity of a hedge whose
+        attempt has not begun.
     """
 
     def __init__(
@@ -31,6 +33,7 @@
         hedge_delay,
         stall_timeout,
         start_task,
+        release_hedge_backend,
     ):
         self.attempt = attempt
         self.acquire_hedge_backend = acquire_hedge_backend
@@ -38,6 +41,7 @@
         self.hedge_delay = hedge_delay
         self.stall_timeout = stall_timeout
         self.start_task = start_task
+        self.release_hedge_backend = release_hedge_backend
         self._hedge_task = None
         self._first_timeout = None
 
@@ -97,8 +101,19 @@
         backend = self.acquire_hedge_backend()
         if backend is None:
             return
-        loop = asyncio.get_running_loop()
-        self._hedge_task = loop.create_task(self.attempt(backend, "hedge", False))
+        has_begun = asyncio.Event()
+
+        async def run():
+            has_begun.set()
+            return await self.attempt(backend, "hedge", False)
+
+        def release_if_unused(task):
+            # A task that is cancelled before its first step never runs its coroutine.
+            if not has_begun.is_set():
+                self.release_hedge_backend(backend)
+
+        self._hedge_task = asyncio.get_running_loop().create_task(run())
+        self._hedge_task.add_done_callback(release_if_unused)
         self._hedge_task.add_done_callback(self._on_hedge_done)
 
     def _on_hedge_done(self, task):
