Quarantine: times that a notice states are bounded

Cause: a notice of a crash in the future (a negative age) would make all real crashes of its fingerprint earlier than the one that counts, so that none would count any more. Found while the diff was read; the datagrams of processes are bytes from outside as well.

Two of three cases of the new test play such notices; the cause is refused all the same.

--- a/boragegw/gateway/_crash_record.py
+++ b/boragegw/gateway/_crash_record.py
@@ -84,10 +84,10 @@
 
     def receive(self, notice):
         """Record the crash in a :class:`CrashNotice` of another process."""
-        crashed_at = self.now() - notice.ago_ms / 1000
+        crashed_at = self.now() - _seconds(notice.ago_ms)
         crash = balancing.Crash(
             server=(notice.server, notice.started_ms),
-            began_at=crashed_at - notice.ran_ms / 1000,
+            began_at=crashed_at - _seconds(notice.ran_ms),
             crashed_at=crashed_at,
             error=NOTICE_ERROR_SECONDS,
         )
@@ -98,5 +98,9 @@
             self.log.event("quarantined", fingerprint=fingerprint.hex())
 
 
+def _seconds(milliseconds):
+    return min(MAX_NOTICE_MS, max(0, milliseconds)) / 1000
+
+
 def _milliseconds(seconds):
     return min(MAX_NOTICE_MS, max(0, round(1000 * seconds)))
--- a/boragegw/platform/tests/test_quarantine.py
+++ b/boragegw/platform/tests/test_quarantine.py
@@ -6,6 +6,7 @@
 import pytest
 
 from boragegw import standins
+from boragegw.gateway import _peer_messages
 
 in_memory = standins.in_memory
 
@@ -162,3 +163,21 @@
     for name in installation.processes:
         await installation.call("/poison", to=name)
     assert len(installation.runs("/poison")) == before <= 10
+
+
+@pytest.mark.parametrize("ago_ms", [-(2**63), -5, 2**64 - 1])
+@in_memory
+async def test_odd_times_of_a_notice_hide_no_later_crash(ago_ms):
+    """Guards against a datagram after which no crash counts as a later one."""
+    installation = await start(gateways=1, backends=8)
+    process = installation.processes["gw-0"]
+    poison(installation)
+    await installation.call("/poison")
+    await asyncio.sleep(0.3)
+    (fingerprint,) = process.forwarder.sender.crashes.policy._crashes
+    notice = _peer_messages.CrashNotice(fingerprint, "i-other", 1, ago_ms, ago_ms)
+    process.membership._handle_crash(notice, ("10.1.0.9", 7540))
+    for _ in range(6):
+        await installation.call("/poison")
+        await asyncio.sleep(0.3)
+    assert quarantines(installation) == [1]
