Stop: a grace time that changes while the process runs holds for its next stop

What callers would see: grace_s is lowered in the settings file, the process is stopped later, goes by the grace time of its start, and is killed with the requests that it has sent to backend servers.

Cause: a reload took over the seeds alone.

Where the class (a stop that misjudges the time that it has) can enter: settings of the start: right; a reload by signal or by the poll: at fault, mended; a reload during a stop: keeps the time of its signal; the own interface: reads no settings at run time.

--- a/boragegw/gateway/_gateway.py
+++ b/boragegw/gateway/_gateway.py
@@ -63,6 +63,7 @@
     :param now: function that returns monotonic seconds.
     :ivar requires_host: whether requests of HTTP/1.1 need a Host header.
     :ivar started_at: monotonic seconds of the start of the process.
+    :ivar shutdown_timeout: seconds from SIGTERM until the process is killed.
     """
 
     requires_host = True
@@ -88,6 +89,7 @@
         self.connections = set()
         self.body_memory = _request.BodyMemory()
         self.started_at = now()
+        self.shutdown_timeout = settings.shutdown_timeout
         self._seeds = settings.seeds
         self._default_limits = balancing.CallerLimits()
         self._listeners = []
@@ -449,6 +451,12 @@
             self.log.event("seeds", seeds=list(seeds))
             self._seeds = tuple(seeds)
 
+    def update_shutdown_timeout(self, seconds):
+        """Replace the shutdown timeout; a stop that has begun keeps its own."""
+        if seconds != self.shutdown_timeout:
+            self.log.event("shutdown-timeout", seconds=seconds)
+            self.shutdown_timeout = seconds
+
     def entries_for(self, data_centre):
         """Return the addresses that callers in ``data_centre`` should use."""
         members = self.membership.ready()
@@ -465,7 +473,7 @@
         """
         started = self.now()
         self.board.stopping = True
-        timeout = self.settings.shutdown_timeout
+        timeout = self.shutdown_timeout
         end = started + timeout - min(EXIT_SECONDS, MAX_EXIT_SHARE * timeout)
         self.board.stop_by = end
         self.local_member.life = _peer_messages.Life.LEAVING
--- a/boragegw/platform/_process.py
+++ b/boragegw/platform/_process.py
@@ -115,7 +115,10 @@
         return None
 
     def _reload(self):
-        """Reload the settings that may change at run time: the seeds."""
+        """Reload the settings that may change at run time.
+
+        These are the seeds and the time that a stop may take.
+        """
         if self.gateway is None:
             return
         try:
@@ -125,6 +128,7 @@
             return
         self.gateway.log.event("settings-read")
         self.gateway.update_seeds(reloaded.gateway.seeds)
+        self.gateway.update_shutdown_timeout(reloaded.gateway.shutdown_timeout)
 
     async def _watch_settings(self):
         while True:
--- a/boragegw/platform/tests/test_stop.py
+++ b/boragegw/platform/tests/test_stop.py
@@ -1,7 +1,6 @@
 """A process that shuts down answers what it takes, and refuses the rest at once."""
 
 import asyncio
-import dataclasses
 import random
 
 import pytest
@@ -225,7 +224,7 @@
     connection = await KeptConnection(world).open()
     set_work(world, 2.5)
     process = world.processes["gw-0"]
-    process.settings = dataclasses.replace(process.settings, shutdown_timeout=3.6)
+    process.update_shutdown_timeout(3.6)
     sending = asyncio.create_task(connection.send("/long/1", "GET"))
     await asyncio.sleep(0.01)
     stopping = asyncio.create_task(end(process))
--- a/boragegw/standins/_process_fleet.py
+++ b/boragegw/standins/_process_fleet.py
@@ -77,6 +77,10 @@
             await asyncio.sleep(RESTART_SECONDS)
             await self._spawn()
 
+    def signal(self, number):
+        """Send a signal to the process."""
+        self._process.send_signal(number)
+
     async def stop(self):
         """Kill the process."""
         if self._supervision is not None:
