Own interface: an entry that drains takes only requests that end before it

What callers would see: in the 3 s in which an entry drains, it takes a request whose deadline lies more than its shutdown timeout (60 s) away, a backend server runs it, and the end of the entry cuts it off: the answer is lost.

The router refused requests only once the entry had stopped; while it drains, no deadline was looked at.

Evidence: two cases of test_faults.py (work of 65 s, deadline of 70 s, with GET and with POST) failed before the change: the request ran, its connection was lost, and the stop timed out with work in flight. With it they are refused as not run. Two more cases keep what fits (deadline of 58 s) served.

Where this can enter: requests of idempotent operations and of keys whose home is this entry: at fault, refused with `stopping`. Keys of another home: at fault; the refusal promises nothing there, since an earlier copy may have run. Deadlines up to 57 s, the default of 10 s among them, were never at fault.

--- a/boragegw/blackboard/_blackboard.py
+++ b/boragegw/blackboard/_blackboard.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 
 from boragegw.blackboard import _fleet, _members, _request_history
 
@@ -25,10 +26,13 @@
     """Lifecycle state of this process. Writer: the node.
 
     :param in_flight: requests of callers and peers that are being handled.
+    :param stop_by: monotonic seconds by which a process that shuts down has ended;
+        infinite before.
     """
 
     state: _members.MemberState = _members.MemberState.STARTING
     in_flight: int = 0
+    stop_by: float = math.inf
 
 
 @dataclasses.dataclass(slots=True)
--- a/boragegw/entry/_request_router.py
+++ b/boragegw/entry/_request_router.py
@@ -89,7 +89,7 @@
         if service is not None:
             settings = service.settings
             if settings.is_idempotent(request.method, request.path):
-                self._refuse_if_unavailable()
+                self._refuse_if_unavailable(request)
                 self.authorization.check_limit(request)
                 return await self.executor.execute(
                     request, service, True, request_record
@@ -131,7 +131,7 @@
             )
         return lease
 
-    def _refuse_if_unavailable(self):
+    def _refuse_if_unavailable(self, request):
         lifecycle = self.board.lifecycle
         if lifecycle.in_flight > self.max_in_flight:
             raise errors.RequestError.not_run(
@@ -143,11 +143,19 @@
             raise errors.RequestError.not_run(
                 errors.Code.NOT_READY, "this entry is starting", retry_after=1.0
             )
-        if lifecycle.state is blackboard.MemberState.STOPPED:
+        is_stopped = lifecycle.state is blackboard.MemberState.STOPPED
+        if is_stopped or self._may_outlast_process(request):
             raise errors.RequestError.not_run(
                 errors.Code.STOPPING, "this entry is stopping", retry_after=0.5
             )
 
+    def _may_outlast_process(self, request):
+        """Return whether the deadline of a request lies after the end of a stop.
+
+        Guards against a request that runs and whose response nobody gets.
+        """
+        return request.deadline > self.board.lifecycle.stop_by
+
     async def _handle_local_key(self, request, lease, request_record):
         """Handle a key whose home is this process.
 
@@ -162,7 +170,7 @@
         await request.body.read_all()
         if not self.at_most_once_executor.keys.sealed:
             try:
-                self._refuse_if_unavailable()
+                self._refuse_if_unavailable(request)
             except errors.RequestError as error:
                 raise self.at_most_once_executor.refuse(
                     request, lease, error
@@ -184,6 +192,8 @@
             return self._response_from_sealed(sealed, request, lease)
         if self.board.lifecycle.in_flight > self.max_in_flight:
             raise self._home_unreachable_error("this entry has no room to forward")
+        if self._may_outlast_process(request):
+            raise self._home_unreachable_error("this entry is stopping")
         holders = self.membership.sealed_table_holders(lease.incarnation)
         addresses = [lease.address, *(holder.peer_address for holder in holders)]
         span = self.tracer.start("forward", request.trace)
--- a/boragegw/entry/tests/test_faults.py
+++ b/boragegw/entry/tests/test_faults.py
@@ -405,6 +405,33 @@
     assert run_fleet(scenario) == {200: 18}
 
 
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize(
+    ("work", "deadline", "status", "has_run"),
+    [(0.2, 58.0, 200, True), (65.0, 70.0, 503, False)],
+)
+def test_stopping_entry_takes_only_what_ends_before_it(
+    method, work, deadline, status, has_run
+):
+    """An entry that drained took a request that it could not wait for, a backend server
+    ran it, and the end of the entry cut it off.
+    """
+
+    async def scenario(fleet):
+        index, _ = preferred_entry(fleet)
+        for backend in fleet.servers.values():
+            backend.service_time = lambda: work
+        received = sum(backend.received for backend in fleet.servers.values())
+        stopping = asyncio.create_task(fleet.stop_gracefully(index))
+        await asyncio.sleep(0.5)
+        send = get if method == "GET" else post
+        response, _ = await send(fleet, "/late", deadline=deadline)
+        received = sum(b.received for b in fleet.servers.values()) - received
+        return response.status, received > 0, await stopping
+
+    assert run_fleet(scenario) == (status, has_run, True)
+
+
 def test_stopping_entry_is_removed_from_the_entry_list_at_once():
     async def scenario(fleet):
         index, _ = preferred_entry(fleet)
--- a/boragegw/server/_node.py
+++ b/boragegw/server/_node.py
@@ -354,8 +354,10 @@
 
         :returns: whether all work in flight was finished.
         """
+        timeout = self.parameters.shutdown_timeout
+        self.board.lifecycle.stop_by = self.clock.now() + timeout
         try:
-            async with asyncio.timeout(self.parameters.shutdown_timeout):
+            async with asyncio.timeout(timeout):
                 await self._drain()
                 await self.executions.drain()
                 while self.board.lifecycle.in_flight:
